--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -79,7 +79,7 @@
         return sum(values) / len(values) if values else none
 
     def lowest(self, now: float, none: float) -> float:
-        return min((sum(b) / len(b) for b in self.live(now) if len(b) > 3), default=none)
+        return min((sum(b) / len(b) for b in self.live(now) if len(b) > 7), default=none)
 
 
 class Learned:
@@ -161,7 +161,7 @@
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed = Ring(4, 500.0)
         self.tries_seen = Ring(4, 500.0)
-        self.call_times = Ring(20, 1000.0)
+        self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
         self.call_load = Ring(10, max(1.0, settings.calls_over / 10))
         self.lingering: list[float] = []  # ends of abandoned calls that the layer below may still hold
@@ -449,7 +449,7 @@
         base = self.call_times.lowest(self.now, 0.0)
         mean = sum(good) / len(good) if good else 0.0
         dt = (self.now - self.last) / 1000.0
-        if len(recent) >= 4 and (len(good) * 2 < len(recent) or (base and mean > 3.0 * base)):
+        if len(recent) >= 6 and (len(good) * 2 < len(recent) or (base and mean > 3.0 * base)):
             self.rate = max(1.0, min(self.rate or 1e9, len(recent)) * (1.0 - 0.5 * dt))
         elif self.rate is not None:
             self.rate *= 1.0 + dt
@@ -485,7 +485,7 @@
                 self.tokens -= 1.0
                 self.resume(job, News.GO)
             elif self.allow(job) < 2.0 * mean or (
-                job.rpc.method.skip_share > 0 and self.now - job.called_at > max(100.0, mean)
+                job.rpc.method.skip_share > 0 and self.now - job.called_at > 0.25 * (job.limit - job.arrived)
             ):
                 self.resume(job, News.NO_CALL)
 
