Credit follows the share of the busiest caller

Cause: the total was split evenly, so a busy gateway found no willing server while quiet ones left their credit unused.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -160,6 +160,7 @@
         self.tenant_rate: dict[Tenant, Ring] = {t: Ring(5, 1000.0) for t in settings.tenants}
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed = Ring(4, 500.0)
+        self.callers = Ring(4, 1000.0)
         self.tries_seen = Ring(4, 500.0)
         self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
@@ -276,6 +277,7 @@
         job = Job(rpc, self.learned[rpc.method], self.now)
         if rpc.tenant is not None:
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
+        self.callers.add(self.now, rpc.caller)
         self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
@@ -520,7 +522,7 @@
             amount = 1.0 if leaving else 1.0 - self.weight
         elif self.set.advert is Advert.CREDIT:
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
-            amount = 0.0 if leaving else (busy + room) / self.set.callers
+            amount = 0.0 if leaving else (busy + room) * self.biggest()
         else:
             return
         amount = round(amount, 2)
@@ -529,6 +531,11 @@
             self.out.advertise(amount)
         self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
 
+    def biggest(self) -> float:
+        """The share of the busiest caller: a credit split evenly would starve it while others leave theirs."""
+        seen = self.callers.values(self.now)
+        return max((seen.count(c) for c in set(seen)), default=1) / max(1, len(seen))
+
     def mode(self, name: str, on: bool, why: str) -> None:
         if self.modes.get(name, False) != on:
             self.modes[name] = on
