--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -132,7 +132,7 @@
         self.arrived = now - rpc.waited
         self.due = max(now, now + rpc.remaining if rpc.remaining is not None else self.arrived + m.deadline)
         self.target = min(self.arrived + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
-        self.since = self.called_for = self.called_at = 0.0
+        self.called_for = self.called_at = self.call_end = 0.0
         self.tries = 0
         self.ran = False
 
@@ -164,7 +164,7 @@
         self.tries_seen = Ring(4, 500.0)
         self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
-        self.call_load = Ring(10, max(1.0, settings.calls_over / 10))
+        self.call_load = Ring(11, max(1.0, settings.calls_over / 10))
         self.lingering: list[float] = []  # ends of abandoned calls that the layer below may still hold
         self.rate: float | None = None  # calls below a second; None while it keeps up
         self.tokens = 1.0
@@ -250,11 +250,13 @@
         if want is Want.JOIN:
             self.out.join(rpc)
         elif want is Want.RUN and not job.ran:
-            job.ran, job.since = True, self.now
+            job.ran = True
             self.out.run(rpc)
         elif want is Want.CALL:
             job.called_at = self.now
-            self.out.call(rpc, self.allow(job))
+            allow = self.allow(job)
+            job.call_end = self.now + allow + self.set.linger
+            self.out.call(rpc, allow)
         elif want is Want.SKIP:
             self.out.skip(rpc)
             del self.places[want][job]
@@ -442,7 +444,10 @@
     # Calls below
 
     def allow(self, job: Job) -> float:
-        return (job.limit - self.now) * 0.8
+        left = (job.limit - self.now) * 0.8
+        if self.set.below is Below.SHARED:  # a store that hangs must not keep what waits for it to the end
+            left = min(left, max(300.0, 6.0 * self.call_times.mean(self.now, 100.0)))
+        return left
 
     def follow_calls(self) -> None:
         """The pace of calls follows their recent time: crowding below shows there first."""
@@ -465,16 +470,16 @@
             self.call_load.add(self.now, in_hand * (self.now - self.last))
         self.mode("paced calls", self.rate is not None, f"mean {mean:.0f} base {base:.0f} ms")
 
-    def may_call(self) -> bool:
+    def may_call(self, job: Job) -> bool:
         if self.rate is not None and self.tokens < 1.0:
             return False
         if self.set.below is Below.SHARED and self.set.calls_out > 0:
-            # The shared store falls when all hold too many: each stays within its own share of the mean.
-            in_hand = len(self.places[Want.CALL]) + len(self.lingering)
+            # The shared store falls when all hold too many, and slow calls are in hand for long: what was in
+            # hand and all that the calls out may still take, abandoned ones included, stay within our share.
+            ends = [j.call_end for j in self.places[Want.CALL]] + self.lingering
+            ahead = sum(e - self.now for e in ends) + self.allow(job) + self.set.linger
             load = sum(self.call_load.values(self.now))
-            budget = self.set.calls_out * self.set.calls_over * SAFE
-            ahead = (in_hand + 1) * max(200.0, 2.0 * self.call_times.mean(self.now, 100.0))
-            return in_hand < 1.0 + 2.0 * self.set.calls_out and load + ahead <= budget
+            return load + ahead <= self.set.calls_out * self.set.calls_over * SAFE
         return True
 
     def place_calls(self) -> None:
@@ -483,7 +488,7 @@
             return
         mean = self.call_times.mean(self.now, 0.0)
         for job in sorted(line, key=self.order, reverse=True):
-            if self.may_call():
+            if self.may_call(job):
                 self.tokens -= 1.0
                 self.resume(job, News.GO)
             elif self.allow(job) < 2.0 * mean or (
@@ -532,7 +537,7 @@
         self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
 
     def biggest(self) -> float:
-        """The share of the busiest caller: a credit split evenly would starve it while others leave theirs."""
+        """The share of the busiest caller: an evenly split credit would starve it while others leave theirs."""
         seen = self.callers.values(self.now)
         return max((seen.count(c) for c in set(seen)), default=1) / max(1, len(seen))
 
