--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -19,6 +19,7 @@
 TICK = 50.0  # between two looks at the gauges and the hold
 MARGIN_SHARE = 0.5  # the learned p99 margin is capped at this share of an RPC's whole time
 SAFE = 0.85  # of each limit that kills a server or the store
+UNREAD = 0.25  # of the shortest target: what waits unread for so long says the server drowns in reads
 BUSY = 0.95  # core use from which the cores count as busy
 CALL_WAIT = 0.1  # of its whole time that an RPC may line up for a call it can leave out
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
@@ -162,6 +163,8 @@
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed = Ring(4, 500.0)
         self.callers = Ring(4, 1000.0)
+        self.unread = Ring(2, 250.0)
+        self.shortest = min(m.target for m in settings.methods)
         self.tries_seen = Ring(4, 500.0)
         self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
@@ -284,6 +287,7 @@
         if rpc.tenant is not None:
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
         self.callers.add(self.now, rpc.caller)
+        self.unread.add(self.now, rpc.waited)
         self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
@@ -529,6 +533,9 @@
         leaving = self.leave_at is not None
         dt = (self.now - self.last) / 1000.0
         self.weight = max(0.05, min(1.0, self.weight * (1.0 + dt * (room - held) / room)))
+        # Reads that eat the cores: a slowed server reads what has long been given up. What waits unread shows
+        # it before any run ends, whatever the cause; callers must hear of it while they still wait.
+        keeps_up = max(0.05, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
         if self.set.advert is Advert.WEIGHT:
             amount = 0.0 if leaving else self.weight
         elif self.set.advert is Advert.LEVEL:
@@ -538,10 +545,13 @@
             amount = 0.0 if leaving else (busy + room) * self.biggest()
         else:
             return
+        if self.set.advert is not Advert.LEVEL:
+            amount *= keeps_up
         amount = round(amount, 2)
         if amount != self.advert:
             self.advert = amount
             self.out.advertise(amount)
+        self.mode("drowning", keeps_up < 0.3, f"unread for {self.unread.mean(self.now, 0.0):.0f} ms")
         self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
 
     def biggest(self) -> float:
