--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -17,11 +17,12 @@
 from landingshift.interface import Stopping, Tenant
 
 TICK = 50.0  # between two looks at the gauges and the hold
-MARGIN_SHARE = 0.5  # the learned p99 margin is capped at this share of an RPC's whole time
+MARGIN_SHARE = 0.7  # the learned p99 margin is capped at this share of an RPC's whole time
 SAFE = 0.85  # of each limit that kills a server or the store
 UNREAD = 0.25  # of the shortest target: what waits unread for so long says the server drowns in reads
 BUSY = 0.95  # core use from which the cores count as busy
 CALL_WAIT = 0.1  # of its whole time that an RPC may line up for a call it can leave out
+HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -532,10 +533,10 @@
         room = HOLD_ROOM * self.set.cores
         leaving = self.leave_at is not None
         dt = (self.now - self.last) / 1000.0
-        self.weight = max(0.05, min(1.0, self.weight * (1.0 + dt * (room - held) / room)))
+        self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
         # Reads that eat the cores: a slowed server reads what has long been given up. What waits unread shows
         # it before any run ends, whatever the cause; callers must hear of it while they still wait.
-        keeps_up = max(0.05, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
+        keeps_up = max(HEARD, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
         if self.set.advert is Advert.WEIGHT:
             amount = 0.0 if leaving else self.weight
         elif self.set.advert is Advert.LEVEL:
@@ -546,7 +547,7 @@
         else:
             return
         if self.set.advert is not Advert.LEVEL:
-            amount *= keeps_up
+            amount = max(HEARD, amount * keeps_up) if not leaving else 0.0
         amount = round(amount, 2)
         if amount != self.advert:
             self.advert = amount
