--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -19,7 +19,7 @@
 TICK = 50.0  # between two looks at the gauges and the hold
 MARGIN_SHARE = 0.7  # the learned p99 margin is capped at this share of an RPC's whole time
 SAFE = 0.85  # of each limit that kills a server or the store
-UNREAD = 0.25  # of the shortest target: what waits unread for so long says the server drowns in reads
+UNREAD = 0.5  # of the shortest target: what waits unread for so long says the server drowns in reads
 BUSY = 0.95  # core use from which the cores count as busy
 CALL_WAIT = 0.1  # of its whole time that an RPC may line up for a call it can leave out
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
