--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -174,7 +174,7 @@
         self.rate: float | None = None  # calls below a second; None while it keeps up
         self.tokens = 1.0
         self.advert = -1.0
-        self.weight = 1.0
+        self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
         self.told_at = 0.0
         self.modes: dict[str, bool] = {}
@@ -523,9 +523,8 @@
         left = job.limit - self.now
         retried = self.tries_seen.mean(self.now, 0.0)
         final = job.rpc.retry or retried > 0.2 or left < job.learned.mean
-        hold_off = 0.0
-        if self.set.hold_off:
-            hold_off = min(self.set.hold_off_max, 250.0 + 50.0 * len(self.places[Want.HOLD]))
+        away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
+        hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
         self.out.push_back(job.rpc, hold_off, final and self.leave_at is None)
 
     def tell(self) -> None:
@@ -536,7 +535,7 @@
         self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
         # Reads that eat the cores: a slowed server reads what has long been given up. What waits unread shows
         # it before any run ends, whatever the cause; callers must hear of it while they still wait.
-        keeps_up = max(HEARD, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
+        self.keeps_up = max(HEARD, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
         if self.set.advert is Advert.WEIGHT:
             amount = 0.0 if leaving else self.weight
         elif self.set.advert is Advert.LEVEL:
@@ -547,12 +546,12 @@
         else:
             return
         if self.set.advert is not Advert.LEVEL:
-            amount = max(HEARD, amount * keeps_up) if not leaving else 0.0
+            amount = max(HEARD, amount * self.keeps_up) if not leaving else 0.0
         amount = round(amount, 2)
         if amount != self.advert:
             self.advert = amount
             self.out.advertise(amount)
-        self.mode("drowning", keeps_up < 0.3, f"unread for {self.unread.mean(self.now, 0.0):.0f} ms")
+        self.mode("drowning", self.keeps_up < 0.3, f"unread for {self.unread.mean(self.now, 0.0):.0f} ms")
         self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
 
     def biggest(self) -> float:
