--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -23,6 +23,7 @@
 BUSY = 0.95  # core use from which the cores count as busy
 CALL_WAIT = 0.1  # of its whole time that an RPC may line up for a call it can leave out
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
+FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -542,7 +543,9 @@
             amount = 1.0 if leaving else 1.0 - self.weight
         elif self.set.advert is Advert.CREDIT:
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
-            amount = 0.0 if leaving else (busy + room) * self.biggest()
+            # Callers refuse without choosing: what a flooding tenant holds must not keep others' work away.
+            flood = sum(j.rpc.tenant is not None and self.worth[j.rpc.tenant] < FLOOD for j in p[Want.HOLD])
+            amount = 0.0 if leaving else (busy + room + min(flood, 4 * self.set.cores)) * self.biggest()
         else:
             return
         if self.set.advert is not Advert.LEVEL:
