--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -78,10 +78,6 @@
     def values(self, now: float) -> list[float]:
         return [v for b in self.live(now) for v in b]
 
-    def latest(self, now: float) -> list[float]:
-        i = int(now // self.width)
-        return [v for s in (i - 1, i) if self.stamps[s % self.count] == s for v in self.buckets[s % self.count]]
-
     def mean(self, now: float, none: float) -> float:
         values = self.values(now)
         return sum(values) / len(values) if values else none
@@ -180,7 +176,6 @@
         self.tokens = 1.0
         self.advert = -1.0
         self.weight = self.keeps_up = 1.0
-        self.good, self.back_at, self.away = True, now, 2000.0
         self.leave_at: float | None = None  # when the process is stopped
         self.told_at = 0.0
         self.modes: dict[str, bool] = {}
@@ -374,7 +369,6 @@
         for job in [j for place in self.places.values() for j in place]:
             self.sweep(job)
         self.tell()
-        self.judge_health()
         self.last = self.now
 
     def sweep(self, job: Job) -> None:
@@ -451,8 +445,8 @@
             self.cap = max(self.cap, running + idle)
         elif self.use >= BUSY and self.now - self.cut_at >= 500.0:
             base = self.stretch.lowest(self.now, 1.0)
-            recent = self.stretch.latest(self.now)
-            measured = sum(recent) / len(recent) if recent else base
+            recent = self.stretch.live(self.now)
+            measured = sum(recent[-1]) / len(recent[-1]) if recent else base
             self.cap *= max(0.5, min(1.0, base / max(0.01, measured)))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
@@ -563,24 +557,6 @@
         self.mode("drowning", self.keeps_up < 0.3, f"unread for {self.unread.mean(self.now, 0.0):.0f} ms")
         self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
 
-    def judge_health(self) -> None:
-        """Out of the list while what it reads has mostly run out of time; back for a trial after a while."""
-        if self.leave_at is not None:
-            return
-        if self.good and self.keeps_up <= HEARD:
-            self.good, self.back_at = False, self.now + self.away * self.chance.uniform(0.8, 1.2)
-            self.away = min(16000.0, 2.0 * self.away)
-        elif not self.good and self.now >= self.back_at:
-            self.good = True
-        elif self.good and self.now > self.back_at + 10000.0:
-            self.away = 2000.0
-        else:
-            return
-        if self.good != self.modes.get("health", True):
-            self.modes["health"] = self.good
-            self.out.health(self.good, True)
-            self.out.log(f"health {self.good}: unread for {self.unread.mean(self.now, 0.0):.0f} ms")
-
     def biggest(self) -> float:
         """The share of the busiest caller: credit split evenly would starve it while others leave theirs."""
         seen = self.callers.values(self.now)
