--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -78,6 +78,10 @@
     def values(self, now: float) -> list[float]:
         return [v for b in self.live(now) for v in b]
 
+    def latest(self, now: float) -> list[float]:
+        last = int(now // self.width)
+        return [v for s, b in zip(self.stamps, self.buckets, strict=True) if s >= last - 1 for v in b]
+
     def mean(self, now: float, none: float) -> float:
         values = self.values(now)
         return sum(values) / len(values) if values else none
@@ -445,8 +449,8 @@
             self.cap = max(self.cap, running + idle)
         elif self.use >= BUSY and self.now - self.cut_at >= 500.0:
             base = self.stretch.lowest(self.now, 1.0)
-            recent = self.stretch.live(self.now)
-            measured = sum(recent[-1]) / len(recent[-1]) if recent else base
+            recent = self.stretch.latest(self.now)
+            measured = sum(recent) / len(recent) if recent else base
             self.cap *= max(0.5, min(1.0, base / max(0.01, measured)))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
