--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -170,6 +170,7 @@
         self.pushed = Ring(4, 500.0)
         self.callers = Ring(4, 1000.0)
         self.unread = Ring(2, 250.0)
+        self.reads = Ring(10, 2000.0)
         self.shortest = min(m.target for m in settings.methods)
         self.tries_seen = Ring(4, 500.0)
         self.call_times = Ring(10, 3000.0)
@@ -294,6 +295,7 @@
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
         self.callers.add(self.now, rpc.caller)
         self.unread.add(self.now, rpc.waited)
+        self.reads.add(self.now, rpc.waited)
         self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
@@ -527,7 +529,7 @@
         self.pushed.add(self.now, 1.0)
         left = job.limit - self.now
         retried = self.tries_seen.mean(self.now, 0.0)
-        final = job.rpc.retry or retried > 0.2 or left < job.learned.mean
+        final = True or job.rpc.retry or retried > 0.2 or left < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
         self.out.push_back(job.rpc, hold_off, final and self.leave_at is None)
@@ -537,12 +539,17 @@
         room = HOLD_ROOM * self.set.cores
         leaving = self.leave_at is not None
         dt = (self.now - self.last) / 1000.0
-        self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
+        # What is pushed back was read for nothing: the dearer a read, the more it counts as pressure.
+        runs = [lr.mean for lr in self.learned.values() if lr.mean]
+        read_share = min(self.reads.values(self.now), default=0.0) / max(1.0, sum(runs) / max(1, len(runs)))
+        wasted = len(self.pushed.latest(self.now)) * min(2.0, 20.0 * read_share)
+        pressure = (room - held - wasted) / room
+        self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, pressure))))
         # Reads that eat the cores: a slowed server reads what has long been given up. What waits unread shows
         # it before any run ends, whatever the cause; callers must hear of it while they still wait.
         self.keeps_up = max(HEARD, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
         if self.set.advert is Advert.WEIGHT:
-            amount = 0.0 if leaving else self.weight
+            amount = 0.0 if leaving else max(HEARD, self.weight)
         elif self.set.advert is Advert.LEVEL:
             amount = 1.0 if leaving else 1.0 - self.weight
         elif self.set.advert is Advert.CREDIT:
@@ -553,8 +560,8 @@
         else:
             return
         if self.set.advert is not Advert.LEVEL:
-            amount = max(HEARD, amount * self.keeps_up) if not leaving else 0.0
-        amount = round(amount, 2)
+            amount = amount * self.keeps_up
+        amount = round(amount, 3)
         if amount != self.advert:
             self.advert = amount
             self.out.advertise(amount)
