Pushbacks final unless few marked further tries arrive here

Cause: walking callers turn each pushback into another read, up to a quarter of an RPC's work, while the whole fleet is short. Told from one server's own trouble by the share of marked tries among what it reads (0.1). Stretch is now measured against the lowest 5 s mean of each method.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -24,6 +24,7 @@
 CALL_WAIT = 0.1  # of its whole time that an RPC may line up for a call it can leave out
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
 FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
+WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -95,11 +96,11 @@
 
     def __init__(self) -> None:
         self.whole = Ring(8, 2000.0)  # run times, calls included
-        self.own = Ring(15, 2000.0)  # run times without calls
+        self.own = Ring(8, 5000.0)  # run times without calls
         self.hints = Ring(15, 2000.0)
         self.miss_hint = Ring(15, 2000.0)  # how far off the hint was, as a share of the run
         self.miss_mean = Ring(15, 2000.0)
-        self.p99 = self.mean = self.hint_mean = self.trust = 0.0
+        self.p99 = self.mean = self.base = self.hint_mean = self.trust = 0.0
 
     def ran(self, now: float, job: Job, whole: float) -> None:
         own = max(1.0, whole - job.called_for)
@@ -117,6 +118,7 @@
         runs = sorted(self.whole.values(now))
         self.p99 = runs[int(len(runs) * 0.99)] if runs else 0.0
         self.mean = self.own.mean(now, 0.0)
+        self.base = self.own.lowest(now, self.mean)
         self.hint_mean = self.hints.mean(now, 0.0)
         # A hint is believed only as far as it has come nearer than the plain mean: hints may be wrong.
         miss = self.miss_mean.mean(now, 0.0)
@@ -164,15 +166,15 @@
         self.cap = float(settings.cores)
         self.use = 0.0
         self.cut_at = now
-        self.stretch = Ring(20, 1000.0)  # own run time over the method's mean
+        self.stretch = Ring(3, 1000.0)  # own run times over the method's base
         self.tenant_rate: dict[Tenant, Ring] = {t: Ring(5, 1000.0) for t in settings.tenants}
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed = Ring(4, 500.0)
         self.callers = Ring(4, 1000.0)
+        self.tries_seen = Ring(4, 500.0)
         self.unread = Ring(2, 250.0)
         self.reads = Ring(10, 2000.0)
         self.shortest = min(m.target for m in settings.methods)
-        self.tries_seen = Ring(4, 500.0)
         self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
         self.call_load = Ring(11, max(1.0, settings.calls_over / 10))
@@ -294,9 +296,9 @@
         if rpc.tenant is not None:
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
         self.callers.add(self.now, rpc.caller)
+        self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         self.unread.add(self.now, rpc.waited)
         self.reads.add(self.now, rpc.waited)
-        self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
         job.life = self.life(job)
@@ -327,8 +329,8 @@
         if job.at is Want.CALL:
             self.abandoned()
         if job.at is not Want.JOIN and outcome is Outcome.OK:
-            if job.learned.mean:
-                self.stretch.add(self.now, max(1.0, elapsed - job.called_for) / job.learned.mean)
+            if job.learned.base:
+                self.stretch.add(self.now, max(1.0, elapsed - job.called_for) / job.learned.base)
             job.learned.ran(self.now, job, elapsed)
         self.resume(job, News.ENDED)
         if job.at is not None:
@@ -450,13 +452,15 @@
         if idle > 0 and self.places[Want.HOLD]:
             self.cap = max(self.cap, running + idle)
         elif self.use >= BUSY and self.now - self.cut_at >= 500.0:
-            base = self.stretch.lowest(self.now, 1.0)
-            recent = self.stretch.latest(self.now)
-            measured = sum(recent) / len(recent) if recent else base
-            self.cap *= max(0.5, min(1.0, base / max(0.01, measured)))
+            self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, self.stretched())))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
 
+    def stretched(self) -> float:
+        """Measured over base latency: how much longer runs take now than in this server's good times."""
+        recent = self.stretch.latest(self.now)
+        return sum(recent) / len(recent) if len(recent) > 4 else 1.0
+
     # Calls below
 
     def allow(self, job: Job) -> float:
@@ -528,8 +532,10 @@
     def push_back(self, job: Job) -> None:
         self.pushed.add(self.now, 1.0)
         left = job.limit - self.now
-        retried = self.tries_seen.mean(self.now, 0.0)
-        final = True or job.rpc.retry or retried > 0.2 or left < job.learned.mean
+        # Another try costs a read elsewhere: worth it only while others do not push back too, which the
+        # further tries that arrive here show where they are marked.
+        walks = self.tries_seen.mean(self.now, 0.0) < WALKS if self.set.marks_retry else False
+        final = not walks or job.rpc.retry or left < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
         self.out.push_back(job.rpc, hold_off, final and self.leave_at is None)
--- a/landingshift/drill/settings.py
+++ b/landingshift/drill/settings.py
@@ -54,6 +54,7 @@
         linger=extra.get("linger") or 0.0,
         advert=ADVERTS[extra.get("say") or "silent"],
         deadline_told=bool(extra.get("passes-deadline")),
+        marks_retry=bool((data.get("clients") or {}).get("marks-retry")),
         hold_off=bool(permits.get("retry-after")),
         hold_off_max=permits.get("max-retry-after") or 0.0,
         answer_slack=rules["answer-slack"],
--- a/landingshift/interface.py
+++ b/landingshift/interface.py
@@ -88,6 +88,7 @@
     linger: float
     advert: Advert
     deadline_told: bool
+    marks_retry: bool
     hold_off: bool  # pushbacks may carry a hold-off
     hold_off_max: float
     answer_slack: float
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -31,6 +31,7 @@
     linger=0.0,
     advert=Advert.NONE,
     deadline_told=True,
+    marks_retry=True,
     hold_off=True,
     hold_off_max=1000.0,
     answer_slack=50.0,
