--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -10,7 +10,7 @@
 
 import heapq
 from collections.abc import Generator
-from enum import Enum, auto
+from enum import Enum
 from random import Random
 
 from landingshift.interface import Actions, Advert, Below, Effect, Gauges, Method, Outcome, Rpc, Settings
@@ -29,29 +29,10 @@
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
 
-class Want(Enum):
-    HOLD = auto()
-    JOIN = auto()
-    RUN = auto()
-    LINE_UP = auto()  # for a call below
-    CALL = auto()
-    SKIP = auto()
-    PUSH_BACK = auto()
-    ABORT = auto()
-    LEAVE = auto()  # nobody waits any more
-
-
-class News(Enum):
-    START = auto()
-    LATE = auto()  # held too long, or no room
-    DUE = auto()
-    GONE = auto()
-    NEEDS_CALL = auto()
-    GO = auto()
-    NO_CALL = auto()
-    ENDED = auto()
-
-
+# What an RPC wants done; LINE_UP is for a call below, LEAVE means that nobody waits any more.
+Want = Enum("Want", "HOLD JOIN RUN LINE_UP CALL SKIP PUSH_BACK ABORT LEAVE")
+# What it is resumed with; LATE is held too long or no room, ENDED that its run is over.
+News = Enum("News", "START LATE DUE GONE NEEDS_CALL GO NO_CALL ENDED")
 Life = Generator[Want, "News | Outcome", None]
 Steps = Generator[Want, "News | Outcome", "News | Outcome"]
 
@@ -97,21 +78,17 @@
     def __init__(self) -> None:
         self.whole = Ring(8, 2000.0)  # run times, calls included
         self.own = Ring(8, 5000.0)  # run times without calls
-        self.hints = Ring(15, 2000.0)
-        self.miss_hint = Ring(15, 2000.0)  # how far off the hint was, as a share of the run
-        self.miss_mean = Ring(15, 2000.0)
+        self.hints = Ring(8, 5000.0)
+        self.nearer = Ring(8, 5000.0)  # 1 where the hint came nearer to the run than the mean did, else -1
         self.p99 = self.mean = self.base = self.hint_mean = self.trust = 0.0
 
     def ran(self, now: float, job: Job, whole: float) -> None:
         own = max(1.0, whole - job.called_for)
         self.whole.add(now, whole)
-        if job.rpc.hint and self.mean and self.hint_mean:
-            self.miss_hint.add(
-                now, min(3.0, abs(self.mean * job.rpc.hint / self.hint_mean - own) / self.mean)
-            )
-            self.miss_mean.add(now, min(3.0, abs(self.mean - own) / self.mean))
         if job.rpc.hint:
             self.hints.add(now, job.rpc.hint)
+            guess = self.mean * job.rpc.hint / self.hint_mean if self.hint_mean else 0.0
+            self.nearer.add(now, 1.0 if abs(guess - own) < abs(self.mean - own) else -1.0)
         self.own.add(now, own)
 
     def refresh(self, now: float) -> None:
@@ -120,9 +97,7 @@
         self.mean = self.own.mean(now, 0.0)
         self.base = self.own.lowest(now, self.mean)
         self.hint_mean = self.hints.mean(now, 0.0)
-        # A hint is believed only as far as it has come nearer than the plain mean: hints may be wrong.
-        miss = self.miss_mean.mean(now, 0.0)
-        self.trust = max(0.0, 1.0 - self.miss_hint.mean(now, 1.0) / miss) if miss else 0.0
+        self.trust = max(0.0, self.nearer.mean(now, 0.0))  # hints may be wrong: believed as they prove right
 
     def size(self, rpc: Rpc) -> float:
         """This RPC's work over the mean of its method."""
@@ -157,7 +132,6 @@
         self.set, self.out, self.now = settings, out, now
         self.chance = Random(seed)
         self.born = self.last = now
-        self.stirred = False
         self.learned: dict[Method, Learned] = {m: Learned() for m in settings.methods}
         self.places: dict[Want, dict[Job, None]] = {w: {} for w in Want}
         self.kb = 0.0
@@ -173,7 +147,6 @@
         self.callers = Ring(4, 1000.0)
         self.tries_seen = Ring(4, 500.0)
         self.unread = Ring(2, 250.0)
-        self.reads = Ring(10, 2000.0)
         self.shortest = min(m.target for m in settings.methods)
         self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
@@ -298,7 +271,6 @@
         self.callers.add(self.now, rpc.caller)
         self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         self.unread.add(self.now, rpc.waited)
-        self.reads.add(self.now, rpc.waited)
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
         job.life = self.life(job)
@@ -311,16 +283,16 @@
         """Keeps a tokened RPC from the start: a repeat of one held and not kept bears no mark."""
         rpc, m = job.rpc, job.rpc.method
         share = m.effect is Effect.IDEMPOTENT and self.set.share_for > 0 and rpc.keyed and not rpc.write
-        if m.effect is Effect.TOKENED or share:
-            fits = self.kb + self.set.key_kb < self.set.memory_kb * SAFE
-            if fits:
-                span = self.set.share_for + m.deadline if share else m.repeat_window - rpc.waited + 1.0
-                self.out.keep(rpc, span)
-                self.keeps += 1
-                heapq.heappush(self.kept, (self.now + span, self.keeps, job))
-                job.kept = True
-                self.kb += self.set.key_kb
-            return fits or share
+        if not share and m.effect is not Effect.TOKENED:
+            return True
+        if self.kb + self.set.key_kb > self.set.memory_kb * SAFE:
+            return share
+        span = self.set.share_for + m.deadline if share else m.repeat_window - rpc.waited + 1.0
+        self.out.keep(rpc, span)
+        self.keeps += 1
+        heapq.heappush(self.kept, (self.now + span, self.keeps, job))
+        job.kept = True
+        self.kb += self.set.key_kb
         return True
 
     def ended(self, job: Job, outcome: Outcome, elapsed: float) -> None:
@@ -393,7 +365,6 @@
 
     def settle(self) -> None:
         """Called once all events of a moment are in: pushes back what fails the check, starts others."""
-        self.stirred = False
         while self.kept and self.kept[0][0] <= self.now:
             self.drop_key(heapq.heappop(self.kept)[2])
         for job in list(self.places[Want.HOLD]):
@@ -422,7 +393,7 @@
     def order(self, job: Job) -> tuple[float, float]:
         """Criticality over expected work; newest first while a line stands."""
         m, rpc = job.rpc.method, job.rpc
-        worth = m.criticality * (self.worth[rpc.tenant] if rpc.tenant is not None else 1.0)
+        worth = m.criticality * (self.worth[rpc.tenant] if rpc.tenant else 1.0)
         if self.now + job.learned.mean > job.target:
             worth *= m.late_share
         if not self.set.by_work:
@@ -439,8 +410,7 @@
 
     def room(self) -> float:
         p = self.places
-        out = len(p[Want.ABORT]) + len(p[Want.LEAVE])
-        running = len(p[Want.RUN]) + out
+        running = len(p[Want.RUN]) + len(p[Want.ABORT]) + len(p[Want.LEAVE])
         # Those at a call come back to the cores unasked: all together stay under the survivable crowd.
         at_call = len(p[Want.CALL]) + len(p[Want.LINE_UP])
         return min(self.cap - running, self.crowd() - running - at_call)
@@ -507,7 +477,8 @@
         if not line:
             return
         mean = self.call_times.mean(self.now, 0.0)
-        for place, job in enumerate(sorted(line, key=self.gain, reverse=True), 1):
+        gain = {j: -j.rpc.method.criticality * (1.0 - j.rpc.method.skip_share) for j in line}
+        for place, job in enumerate(sorted(gain, key=gain.__getitem__), 1):
             wait = max(self.now - job.called_at, place * 1000.0 / self.rate if self.rate else 0.0)
             if self.may_call(job):
                 self.tokens -= 1.0
@@ -517,9 +488,6 @@
             ):
                 self.resume(job, News.NO_CALL)  # its turn would come too late
 
-    def gain(self, job: Job) -> float:
-        return job.rpc.method.criticality * (1.0 - job.rpc.method.skip_share)
-
     # What callers are told
 
     def judge_tenants(self) -> None:
@@ -534,7 +502,7 @@
         left = job.limit - self.now
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
         # further tries that arrive here show where they are marked.
-        walks = self.tries_seen.mean(self.now, 0.0) < WALKS if self.set.marks_retry else False
+        walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
         final = not walks or job.rpc.retry or left < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
@@ -545,28 +513,22 @@
         room = HOLD_ROOM * self.set.cores
         leaving = self.leave_at is not None
         dt = (self.now - self.last) / 1000.0
-        # What is pushed back was read for nothing: the dearer a read, the more it counts as pressure.
-        runs = [lr.mean for lr in self.learned.values() if lr.mean]
-        read_share = min(self.reads.values(self.now), default=0.0) / max(1.0, sum(runs) / max(1, len(runs)))
-        wasted = len(self.pushed.latest(self.now)) * min(2.0, 20.0 * read_share)
-        pressure = (room - held - wasted) / room
-        self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, pressure))))
+        self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
         # Reads that eat the cores: a slowed server reads what has long been given up. What waits unread shows
         # it before any run ends, whatever the cause; callers must hear of it while they still wait.
         self.keeps_up = max(HEARD, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
         if self.set.advert is Advert.WEIGHT:
-            amount = 0.0 if leaving else max(HEARD, self.weight)
+            amount = self.weight * self.keeps_up * (not leaving)
         elif self.set.advert is Advert.LEVEL:
-            amount = 1.0 if leaving else 1.0 - self.weight
+            amount = 1.0 - self.weight * (not leaving)
         elif self.set.advert is Advert.CREDIT:
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
             # Callers refuse without choosing: what a flooding tenant holds must not keep others' work away.
             flood = sum(j.rpc.tenant is not None and self.worth[j.rpc.tenant] < FLOOD for j in p[Want.HOLD])
             amount = 0.0 if leaving else (busy + room + min(flood, 4 * self.set.cores)) * self.biggest()
+            amount *= self.keeps_up
         else:
             return
-        if self.set.advert is not Advert.LEVEL:
-            amount = amount * self.keeps_up
         amount = round(amount, 3)
         if amount != self.advert:
             self.advert = amount
--- a/landingshift/drill/door.py
+++ b/landingshift/drill/door.py
@@ -143,7 +143,8 @@
         self.reply.append(["NoteDown", self.instance, text])
 
 
-EVENTS: dict[str, tuple[Callable[[Door, list[Any]], None], int]] = {
+Handler = Callable[[Door, list[Any]], None]
+EVENTS: dict[str, tuple[Handler, int]] = {
     "Ingress": (Door.read, 12),
     "Result": (Door.result, 3),
     "WantsCall": (Door.wants_call, 1),
@@ -166,7 +167,7 @@
         self.reply: list[list[Any]] = []
         self.events: list[list[Any]] = []
         self.batch: tuple[float, int] | None = None
-        self.failed = False
+        self.stirred: dict[int, Door] = {}  # instances with an event in this batch
 
     def line(self, value: Any) -> bool:
         """Takes one line; true when it closes a batch and the reply is ready."""
@@ -201,6 +202,7 @@
             return
         if name == "Destroy":
             self.doors.pop(instance, None)
+            self.stirred.pop(instance, None)
             return
         if name not in EVENTS:
             raise Malformed(f"unknown event {name}")
@@ -210,7 +212,7 @@
         handler, count = EVENTS[name]
         fields += [None] * (count - len(fields))
         self.vet(door, name, fields)
-        self.guarded(instance, lambda: self.deliver(door, handler, fields[:count], now))
+        self.guarded(instance, lambda: self.deliver(instance, door, handler, fields[:count], now))
 
     def vet(self, door: Door, name: str, fields: list[Any]) -> None:
         if name == "Quiesce" or name == "Elapsed":
@@ -236,25 +238,22 @@
     def configure(self, instance: int, settings: Settings, seed: int, now: float) -> None:
         self.doors[instance] = Door(instance, settings, seed, now, self.reply)
 
-    def deliver(
-        self, door: Door, handler: Callable[[Door, list[Any]], None], fields: list[Any], now: float
-    ) -> None:
+    def deliver(self, instance: int, door: Door, handler: Handler, fields: list[Any], now: float) -> None:
         door.server.now = now
         handler(door, fields)
-        door.server.stirred = True
+        self.stirred[instance] = door
 
     def guarded(self, instance: int, step: Callable[[], None]) -> None:
         try:
             step()
         except Exception:
-            self.failed = True
             self.reply.append(["GiveIn", instance, traceback.format_exc(limit=-4)])
 
     def answer(self) -> list[list[Any]]:
         assert self.batch is not None
-        for instance, door in self.doors.items():
-            if door.server.stirred:
-                self.guarded(instance, door.server.settle)
+        for instance, door in self.stirred.items():
+            self.guarded(instance, door.server.settle)
+        self.stirred.clear()
         self.reply.append(["Yield", self.batch[1]])
         reply = self.reply[:]
         self.reply.clear()
--- a/landingshift/drill/settings.py
+++ b/landingshift/drill/settings.py
@@ -38,7 +38,6 @@
         over_share_worth=data.get("over-share-worth", 1.0),
         by_work=data.get("worth-by") == "work",
         servers=max(1, data.get("peers-total") or 1),
-        callers=max(1, extra.get("callers") or 1),
         cores=extra["n-cores"],
         cold=bool(extra.get("cold")),
         cold_from=rules["cold-from"],
@@ -57,7 +56,6 @@
         marks_retry=bool((data.get("clients") or {}).get("marks-retry")),
         hold_off=bool(permits.get("retry-after")),
         hold_off_max=permits.get("max-retry-after") or 0.0,
-        answer_slack=rules["answer-slack"],
         drain_grace=rules["drain-grace"],
         crowd=rules["tip-multiple"],
     )
--- a/landingshift/interface.py
+++ b/landingshift/interface.py
@@ -72,7 +72,6 @@
     over_share_worth: float
     by_work: bool  # criticality counts for each unit of work
     servers: int
-    callers: int
     cores: int
     cold: bool
     cold_from: float
@@ -91,7 +90,6 @@
     marks_retry: bool
     hold_off: bool  # pushbacks may carry a hold-off
     hold_off_max: float
-    answer_slack: float
     drain_grace: float
     crowd: float  # RPCs on the cores for each core that a warm server survives
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,7 +15,6 @@
     over_share_worth=0.1,
     by_work=False,
     servers=4,
-    callers=2,
     cores=2,
     cold=False,
     cold_from=0.25,
@@ -34,7 +33,6 @@
     marks_retry=True,
     hold_off=True,
     hold_off_max=1000.0,
-    answer_slack=50.0,
     drain_grace=1000.0,
     crowd=8.0,
 )
