Only the best arrivals start while reads take the cores

While all cores are busy and pushbacks happen, only as many of the best arrivals start as have been starting. Covers any flood whose reads crowd out work; may idle a core for a tick when the mix changes.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -25,6 +25,7 @@
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
 FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
+FLOOR_ROOM = 1.2  # of the recent starts, how many of the best arrivals may start
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -145,6 +146,8 @@
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed = Ring(4, 500.0)
         self.callers = Ring(4, 1000.0)
+        self.values, self.begun = Ring(4, 500.0), Ring(4, 500.0)  # worth over work of all read; starts
+        self.floor = 0.0
         self.tries_seen = Ring(4, 500.0)
         self.unread = Ring(2, 250.0)
         self.shortest = min(m.target for m in settings.methods)
@@ -274,6 +277,7 @@
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
         job.life = self.life(job)
+        self.values.add(self.now, self.order(job)[0])
         self.do(job, next(job.life))
         if job.at is Want.HOLD and not self.may_hold(job):
             self.resume(job, News.LATE)
@@ -375,7 +379,10 @@
             self.resume(min(held, key=self.order), News.LATE)
         while held and self.room() >= 1.0:
             best = max(held, key=self.order)
+            if self.order(best)[0] < self.floor:
+                break
             if self.kb + best.rpc.kb * (self.set.run_factor - 1.0) <= self.set.memory_kb * SAFE:
+                self.begun.add(self.now, 1.0)
                 self.resume(best, News.START)
             elif len(held) > 1:  # a full hold must not keep the cores from work
                 self.resume(min(held, key=self.order), News.LATE)
@@ -425,6 +432,12 @@
             self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, self.stretched())))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
+        # Where reads take the cores, better work grows too old unread while lesser work fills the slots: while
+        # all cores are busy, only as much starts as has been starting, the best of what comes.
+        self.floor, begun = 0.0, int(FLOOR_ROOM * len(self.begun.values(self.now)))
+        if idle <= 0 and self.use >= BUSY and self.pushed.live(self.now):
+            values = sorted(self.values.values(self.now), reverse=True)
+            self.floor = values[begun] if begun < len(values) else 0.0
 
     def stretched(self) -> float:
         """Measured over base latency: how much longer runs take now than in this server's good times."""
