--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -25,7 +25,7 @@
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
 FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
-FLOOR_ROOM = 1.2  # of the recent starts, how many of the best arrivals may start
+FLOOR_ROOM = 1.0  # of the recent starts, how many of the best arrivals may start
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
