--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -8,9 +8,9 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Generator
 from enum import Enum
+from math import inf
 from random import Random
 
 from landingshift.interface import Actions, Advert, Below, Effect, Gauges, Method, Outcome, Rpc, Settings
@@ -26,6 +26,7 @@
 FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
 FLOOR_ROOM = 1.0  # of the recent starts, how many of the best arrivals may start
+READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -120,7 +121,7 @@
         self.target = min(self.arrived + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
         self.called_for = self.called_at = self.call_end = 0.0
         self.tries = 0
-        self.ran = self.kept = False
+        self.ran = False
 
     @property
     def limit(self) -> float:
@@ -131,25 +132,20 @@
 class Server:
     def __init__(self, settings: Settings, seed: int, out: Actions, now: float) -> None:
         self.set, self.out, self.now = settings, out, now
-        self.chance = Random(seed)
         self.born = self.last = now
         self.learned: dict[Method, Learned] = {m: Learned() for m in settings.methods}
         self.places: dict[Want, dict[Job, None]] = {w: {} for w in Want}
         self.kb = 0.0
-        self.kept: list[tuple[float, int, Job]] = []  # live table entries by end
-        self.keeps = 0
+        self.kept: dict[Job, float] = {}  # live table entries and their ends
         self.cap = float(settings.cores)
-        self.use = 0.0
-        self.cut_at = now
+        self.use, self.cut_at = 0.0, now
         self.stretch = Ring(3, 1000.0)  # own run times over the method's base
         self.tenant_rate: dict[Tenant, Ring] = {t: Ring(5, 1000.0) for t in settings.tenants}
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
-        self.pushed = Ring(4, 500.0)
-        self.callers = Ring(4, 1000.0)
+        self.pushed, self.callers = Ring(4, 500.0), Ring(4, 1000.0)
         self.values, self.begun = Ring(4, 500.0), Ring(4, 500.0)  # worth over work of all read; starts
-        self.floor = 0.0
-        self.tries_seen = Ring(4, 500.0)
-        self.unread = Ring(2, 250.0)
+        self.floor = self.reading = 0.0
+        self.tries_seen, self.unread = Ring(4, 500.0), Ring(2, 250.0)
         self.shortest = min(m.target for m in settings.methods)
         self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
@@ -160,10 +156,10 @@
         self.advert = -1.0
         self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
-        self.told_at = 0.0
+        self.run_until = inf  # what arrives later is not run
         self.modes: dict[str, bool] = {}
         out.health(True, True)
-        out.wake(TICK)
+        out.wake(TICK * Random(seed).random())  # so that a fleet does not look at its gauges in step
 
     # An RPC, from read to answer
 
@@ -226,13 +222,11 @@
         was, job.at = job.at, Want.RUN if want is Want.SKIP else want
         if want in (Want.PUSH_BACK, None) or (want is Want.ABORT and was in (Want.JOIN, Want.HOLD)):
             job.at = None
-            if want is Want.PUSH_BACK:
-                self.push_back(job)
-            elif want is Want.ABORT:
-                self.out.abort(rpc)
-            if job.kept and not job.ran:  # a later try may run: it must not be tied to one that never did
+            if want is not None:
+                self.push_back(job) if want is Want.PUSH_BACK else self.out.abort(rpc)
+            if not job.ran and self.kept.pop(job, 0.0):  # a later try may run: not tied to an unrun one
                 self.out.forget(rpc)
-                self.drop_key(job)
+                self.kb -= self.set.key_kb
             job.life.close()
             self.out.closed(rpc)
             return
@@ -252,16 +246,12 @@
             self.out.call(rpc, allow)
         elif want in (Want.ABORT, Want.LEAVE):
             if was is Want.CALL:
-                self.abandoned()
+                self.lingering.append(self.now + self.set.linger)
             if want is Want.ABORT:
                 self.out.abort(rpc)
             if self.set.stopping is not Stopping.NONE:
                 self.out.stop(rpc)
 
-    def drop_key(self, job: Job) -> None:
-        self.kb -= self.set.key_kb if job.kept else 0.0
-        job.kept = False
-
     def weigh(self, job: Job) -> float:
         return job.rpc.kb * (1.0 if job.at in (Want.HOLD, Want.JOIN) else self.set.run_factor)
 
@@ -277,7 +267,7 @@
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
         job.life = self.life(job)
-        self.values.add(self.now, self.order(job)[0])
+        self.values.add(self.now, self.value(job))
         self.do(job, next(job.life))
         if job.at is Want.HOLD and not self.may_hold(job):
             self.resume(job, News.LATE)
@@ -293,9 +283,7 @@
             return share
         span = self.set.share_for + m.deadline if share else m.repeat_window - rpc.waited + 1.0
         self.out.keep(rpc, span)
-        self.keeps += 1
-        heapq.heappush(self.kept, (self.now + span, self.keeps, job))
-        job.kept = True
+        self.kept[job] = self.now + span
         self.kb += self.set.key_kb
         return True
 
@@ -303,14 +291,12 @@
         if job.at is None:
             return
         if job.at is Want.CALL:
-            self.abandoned()
+            self.lingering.append(self.now + self.set.linger)
         if job.at is not Want.JOIN and outcome is Outcome.OK:
             if job.learned.base:
                 self.stretch.add(self.now, max(1.0, elapsed - job.called_for) / job.learned.base)
             job.learned.ran(self.now, job, elapsed)
         self.resume(job, News.ENDED)
-        if job.at is not None:
-            self.do(job, None)
 
     def wants_call(self, job: Job) -> None:
         job.called_at = self.now
@@ -324,19 +310,16 @@
         if outcome is Outcome.OK:
             self.call_times.add(self.now, elapsed)
         elif outcome in (Outcome.NO_ANSWER, Outcome.CONNECTION_LOST):
-            self.abandoned()
+            self.lingering.append(self.now + self.set.linger)
         self.call_recent.add(self.now, elapsed if outcome is Outcome.OK else -1.0)
         self.resume(job, outcome)
 
-    def abandoned(self) -> None:
-        self.lingering.append(self.now + self.set.linger)
-
     def hangup(self, job: Job) -> None:
         if job.at not in (Want.ABORT, Want.LEAVE):
             self.resume(job, News.GONE)
 
     def quiesce(self, left: float) -> None:
-        self.told_at, self.leave_at = self.now, self.now + left
+        self.run_until, self.leave_at = self.now + self.set.drain_grace, self.now + left
         for place in self.places.values():
             for job in place:
                 job.due = min(job.due, self.leave_at - TICK)
@@ -350,6 +333,9 @@
         self.move_cap(gauges)
         self.follow_calls()
         self.judge_tenants()
+        for job in [j for j, end in self.kept.items() if end <= self.now]:
+            del self.kept[job]
+            self.kb -= self.set.key_kb
         for job in [j for place in self.places.values() for j in place]:
             self.sweep(job)
         self.tell()
@@ -369,8 +355,6 @@
 
     def settle(self) -> None:
         """Called once all events of a moment are in: pushes back what fails the check, starts others."""
-        while self.kept and self.kept[0][0] <= self.now:
-            self.drop_key(heapq.heappop(self.kept)[2])
         for job in list(self.places[Want.HOLD]):
             if not self.in_time(job):
                 self.resume(job, News.LATE)
@@ -379,7 +363,7 @@
             self.resume(min(held, key=self.order), News.LATE)
         while held and self.room() >= 1.0:
             best = max(held, key=self.order)
-            if self.order(best)[0] < self.floor:
+            if self.value(best) < self.floor:
                 break
             if self.kb + best.rpc.kb * (self.set.run_factor - 1.0) <= self.set.memory_kb * SAFE:
                 self.begun.add(self.now, 1.0)
@@ -391,7 +375,7 @@
         self.place_calls()
 
     def in_time(self, job: Job) -> bool:
-        if self.leave_at is not None and job.arrived > self.told_at + self.set.drain_grace:
+        if job.arrived > self.run_until:
             return False  # safe drain
         whole = job.limit - job.arrived
         margin = min(job.learned.p99 * job.learned.size(job.rpc), whole * MARGIN_SHARE)
@@ -399,20 +383,19 @@
 
     def order(self, job: Job) -> tuple[float, float]:
         """Criticality over expected work; newest first while a line stands."""
-        m, rpc = job.rpc.method, job.rpc
-        worth = m.criticality * (self.worth[rpc.tenant] if rpc.tenant else 1.0)
+        worth = self.value(job)
         if self.now + job.learned.mean > job.target:
-            worth *= m.late_share
-        if not self.set.by_work:
-            worth /= max(1.0, job.learned.mean) * job.learned.size(rpc)
+            worth *= job.rpc.method.late_share
         return worth, job.arrived if self.pushed.live(self.now) else -job.arrived
 
+    def value(self, job: Job) -> float:
+        worth = job.rpc.method.criticality * self.share_worth(job.rpc)
+        return worth if self.set.by_work else worth / max(1.0, job.learned.mean) / job.learned.size(job.rpc)
+
     def crowd(self) -> float:
         """RPCs on the cores that this server survives; fewer while it is cold."""
-        share = 1.0
-        if self.set.cold:
-            age = (self.now - self.born) / max(1.0, self.set.cold_time)
-            share = min(1.0, self.set.cold_from + (1.0 - self.set.cold_from) * age)
+        age = (self.now - self.born) / max(1.0, self.set.cold_time) if self.set.cold else 1.0
+        share = min(1.0, self.set.cold_from + (1.0 - self.set.cold_from) * age)
         return (1.0 + (self.set.crowd - 1.0) * share) * self.set.cores * SAFE
 
     def room(self) -> float:
@@ -420,11 +403,15 @@
         running = len(p[Want.RUN]) + len(p[Want.ABORT]) + len(p[Want.LEAVE])
         # Those at a call come back to the cores unasked: all together stay under the survivable crowd.
         at_call = len(p[Want.CALL]) + len(p[Want.LINE_UP])
-        return min(self.cap - running, self.crowd() - running - at_call)
+        # Reads share the cores and are not ours to stop: where more than a part of the cores read, the cap
+        # gives way, below its floor too, or all crowd each other.
+        cap = max(1.0, self.cap - max(0.0, self.reading - READ_CORES * self.set.cores))
+        return min(cap - running, self.crowd() - running - at_call)
 
     def move_cap(self, gauges: Gauges) -> None:
         cores, running = self.set.cores, len(self.places[Want.RUN])
         self.use = gauges.core_use if gauges.core_use is not None else min(1.0, running / cores)
+        self.reading = 0.7 * self.reading + 0.3 * max(0.0, (gauges.on_cores or 0.0) - running)
         idle = cores - (gauges.on_cores if gauges.on_cores is not None else running)
         if idle > 0 and self.places[Want.HOLD]:
             self.cap = max(self.cap, running + idle)
@@ -432,8 +419,8 @@
             self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, self.stretched())))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
-        # Where reads take the cores, better work grows too old unread while lesser work fills the slots: while
-        # all cores are busy, only as much starts as has been starting, the best of what comes.
+        # Better work grows too old unread while lesser work fills the slots: while all cores are busy, only
+        # as much starts as has been starting, the best of what comes.
         self.floor, begun = 0.0, int(FLOOR_ROOM * len(self.begun.values(self.now)))
         if idle <= 0 and self.use >= BUSY and self.pushed.live(self.now):
             values = sorted(self.values.values(self.now), reverse=True)
@@ -469,8 +456,7 @@
             self.tokens = min(self.tokens + self.rate * dt, max(1.0, self.rate * 0.2))
         self.lingering = [t for t in self.lingering if t > self.now]
         in_hand = len(self.places[Want.CALL]) + len(self.lingering)
-        if self.set.below is Below.SHARED:
-            self.call_load.add(self.now, in_hand * (self.now - self.last))
+        self.call_load.add(self.now, in_hand * (self.now - self.last))
         self.mode("paced calls", self.rate is not None, f"mean {mean:.0f} base {base:.0f} ms")
 
     def may_call(self, job: Job) -> bool:
@@ -486,11 +472,10 @@
         return True
 
     def place_calls(self) -> None:
-        line = self.places[Want.LINE_UP]
-        if not line:
-            return
         mean = self.call_times.mean(self.now, 0.0)
-        gain = {j: -j.rpc.method.criticality * (1.0 - j.rpc.method.skip_share) for j in line}
+        gain = {
+            j: -j.rpc.method.criticality * (1.0 - j.rpc.method.skip_share) for j in self.places[Want.LINE_UP]
+        }
         for place, job in enumerate(sorted(gain, key=gain.__getitem__), 1):
             wait = max(self.now - job.called_at, place * 1000.0 / self.rate if self.rate else 0.0)
             if self.may_call(job):
@@ -510,44 +495,42 @@
                 over = max(1.0, rate / (tenant.allowance * 1.3))
                 self.worth[tenant] = 1.0 / over + self.set.over_share_worth * (1.0 - 1.0 / over)
 
+    def share_worth(self, rpc: Rpc) -> float:
+        return self.worth[rpc.tenant] if rpc.tenant else 1.0
+
     def push_back(self, job: Job) -> None:
         self.pushed.add(self.now, 1.0)
-        left = job.limit - self.now
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
         # further tries that arrive here show where they are marked.
         walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
-        final = not walks or job.rpc.retry or left < job.learned.mean
+        final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
         self.out.push_back(job.rpc, hold_off, final and self.leave_at is None)
 
     def tell(self) -> None:
-        held, p = len(self.places[Want.HOLD]), self.places
-        room = HOLD_ROOM * self.set.cores
-        leaving = self.leave_at is not None
+        p, room = self.places, HOLD_ROOM * self.set.cores
+        held, here = len(p[Want.HOLD]), self.leave_at is None
         dt = (self.now - self.last) / 1000.0
         self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
         # Reads that eat the cores: a slowed server reads what has long been given up. What waits unread shows
         # it before any run ends, whatever the cause; callers must hear of it while they still wait.
-        self.keeps_up = max(HEARD, 1.0 - self.unread.mean(self.now, 0.0) / (UNREAD * self.shortest))
-        if self.set.advert is Advert.WEIGHT:
-            amount = self.weight * self.keeps_up * (not leaving)
-        elif self.set.advert is Advert.LEVEL:
-            amount = 1.0 - self.weight * (not leaving)
+        unread = self.unread.mean(self.now, 0.0)
+        self.keeps_up = max(HEARD, 1.0 - unread / (UNREAD * self.shortest))
+        self.mode("drowning", self.keeps_up < 0.3, f"unread for {unread:.0f} ms")
+        self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
+        amount = self.weight * self.keeps_up * here
+        if self.set.advert is Advert.LEVEL:
+            amount = 1.0 - self.weight * here
         elif self.set.advert is Advert.CREDIT:
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
             # Callers refuse without choosing: what a flooding tenant holds must not keep others' work away.
-            flood = sum(j.rpc.tenant is not None and self.worth[j.rpc.tenant] < FLOOD for j in p[Want.HOLD])
-            amount = 0.0 if leaving else (busy + room + min(flood, 4 * self.set.cores)) * self.biggest()
-            amount *= self.keeps_up
-        else:
-            return
+            flood = sum(self.share_worth(j.rpc) < FLOOD for j in p[Want.HOLD])
+            amount = (busy + room + min(flood, 4 * self.set.cores)) * self.biggest() * self.keeps_up * here
         amount = round(amount, 3)
-        if amount != self.advert:
+        if amount != self.advert and self.set.advert is not Advert.NONE:
             self.advert = amount
             self.out.advertise(amount)
-        self.mode("drowning", self.keeps_up < 0.3, f"unread for {self.unread.mean(self.now, 0.0):.0f} ms")
-        self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
 
     def biggest(self) -> float:
         """The share of the busiest caller: credit split evenly would starve it while others leave theirs."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,6 +1,7 @@
 import unittest
 from dataclasses import replace
 
+from landingshift.brain import Want
 from landingshift.interface import Advert, Below, Effect, Outcome, Stopping, Tenant
 from tests.helpers import METHOD, Bench
 
@@ -81,6 +82,33 @@
                     b.tick(1.0, 0.1, 0)
                 self.assertLessEqual(len(b.names("run")), most + 1)
 
+    def test_cap_gives_way_to_reads(self) -> None:
+        for reads, runs in [(0, 4), (3, 3), (8, 1)]:
+            with self.subTest(reads=reads):
+                b = Bench(cores=4)
+                for _ in range(30):
+                    b.tick(50.0, 1.0, reads)
+                for _ in range(9):
+                    b.read()
+                b.server.settle()
+                self.assertEqual(len(b.names("run")), runs)
+
+    def test_only_the_best_start_while_reads_crowd_out_better_work(self) -> None:
+        best = replace(METHOD, criticality=5.0)
+        for on_cores, use, starts in [(4.0, 1.0, False), (0.0, 0.3, True)]:
+            with self.subTest(on_cores=on_cores):
+                b = Bench()
+                b.server.learned[best] = b.server.learned[METHOD]
+                for i in range(20):
+                    b.read(method=best, waited=0.0 if i % 4 == 0 else 1500.0)
+                    b.server.settle()
+                    for job in list(b.server.places[Want.RUN]):
+                        b.server.ended(job, Outcome.OK, 20.0)
+                    b.tick(50.0, use, on_cores)
+                poor = b.read()
+                b.server.settle()
+                self.assertEqual(b.fates(poor) == ["run"], starts)
+
     def test_memory(self) -> None:
         b = Bench(memory_kb=250.0)
         jobs = [b.read() for _ in range(30)]
