--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -111,14 +111,14 @@
 class Job:
     """An RPC in this server's hands; the program's handle for it."""
 
-    def __init__(self, rpc: Rpc, learned: Learned, now: float, age: float) -> None:
+    def __init__(self, rpc: Rpc, learned: Learned, now: float) -> None:
         m = rpc.method
         self.rpc, self.learned = rpc, learned
         self.life: Life
         self.at: Want | None = None
         self.arrived = now - rpc.waited
         self.due = max(now, now + rpc.remaining if rpc.remaining is not None else self.arrived + m.deadline)
-        self.target = min(self.arrived - age + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
+        self.target = min(self.arrived + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
         self.called_for = self.called_at = self.call_end = 0.0
         self.tries = 0
         self.ran = False
@@ -136,7 +136,6 @@
         self.learned: dict[Method, Learned] = {m: Learned() for m in settings.methods}
         self.places: dict[Want, dict[Job, None]] = {w: {} for w in Want}
         self.kb = 0.0
-        self.patience: dict[tuple[int, Method], float] = {}  # what first tries are told, by caller and method
         self.kept: dict[Job, float] = {}  # live table entries and their ends
         self.cap = float(settings.cores)
         self.use, self.cut_at = 0.0, now
@@ -259,7 +258,7 @@
     # Events
 
     def read(self, rpc: Rpc) -> Job:
-        job = Job(rpc, self.learned[rpc.method], self.now, self.age(rpc))
+        job = Job(rpc, self.learned[rpc.method], self.now)
         if rpc.tenant is not None:
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
         self.callers.add(self.now, rpc.caller)
@@ -274,16 +273,6 @@
             self.resume(job, News.LATE)
         return job
 
-    def age(self, rpc: Rpc) -> float:
-        """How long ago a further try was first sent: what first tries of its caller are told, less its own."""
-        if rpc.remaining is None:
-            return 0.0
-        told, key = rpc.remaining + rpc.waited, (rpc.caller, rpc.method)
-        if not rpc.retry:
-            usual = self.patience.setdefault(key, told)
-            self.patience[key] = usual + 0.2 * (told - usual)
-        return max(0.0, self.patience.get(key, told) - told) if rpc.retry else 0.0
-
     def may_hold(self, job: Job) -> bool:
         """Keeps a tokened RPC from the start: a repeat of one held and not kept bears no mark."""
         rpc, m = job.rpc, job.rpc.method
