Calls to a tier are bounded by their recent time and tried again

Bounded by six times the recent call time, as on a shared store. Covers any layer below that hangs or loses calls; may give up slow calls of a tier with a very long tail.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -434,10 +434,9 @@
     # Calls below
 
     def allow(self, job: Job) -> float:
-        left = (job.limit - self.now) * 0.8
-        if self.set.below is Below.SHARED:  # a store that hangs must not keep what waits for it to the end
-            left = min(left, max(300.0, 6.0 * self.call_times.mean(self.now, 100.0)))
-        return left
+        # What hangs below or is lost on the way must not keep what waits for it to the end: there is time to
+        # call again, or to do without.
+        return min(0.8 * (job.limit - self.now), max(300.0, 6.0 * self.call_times.mean(self.now, 100.0)))
 
     def follow_calls(self) -> None:
         """The pace of calls follows their recent time: crowding below shows there first."""
