--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -501,9 +501,7 @@
         self.pushed.add(self.now, 1.0)
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
         # further tries that arrive here show where they are marked.
-        walks = self.tries_seen.mean(self.now, 0.0) < WALKS
-        if not self.set.marks_retry:  # TRY
-            walks = job.limit - self.now > 3.0 * job.learned.mean
+        walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
         final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
