--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -27,6 +27,7 @@
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
 FLOOR_ROOM = 1.0  # of the recent starts, how many of the best arrivals may start
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
+GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -356,7 +357,11 @@
     def settle(self) -> None:
         """Called once all events of a moment are in: pushes back what fails the check, starts others."""
         for job in list(self.places[Want.HOLD]):
-            if not self.in_time(job):
+            # A line that stands starts only the best: the rest is told while it can still go elsewhere.
+            hopeless = self.value(job) < self.floor and self.now - job.arrived > GIVE_UP * (
+                job.limit - job.arrived
+            )
+            if hopeless or not self.in_time(job):
                 self.resume(job, News.LATE)
         held = self.places[Want.HOLD]
         while held and self.kb > self.set.memory_kb * SAFE:  # own memory: the least worth its work goes first
@@ -498,7 +503,8 @@
         return self.worth[rpc.tenant] if rpc.tenant else 1.0
 
     def push_back(self, job: Job) -> None:
-        self.pushed.add(self.now, 1.0)
+        if not self.in_time(job):
+            self.pushed.add(self.now, 1.0)  # not those given up early: they would keep the line standing
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
         # further tries that arrive here show where they are marked.
         walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
