--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -503,13 +503,12 @@
         return self.worth[rpc.tenant] if rpc.tenant else 1.0
 
     def push_back(self, job: Job) -> None:
-        given_up = self.in_time(job)
-        if not given_up:
+        if not self.in_time(job):
             self.pushed.add(self.now, 1.0)  # not those given up early: they would keep the line standing
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
         # further tries that arrive here show where they are marked.
         walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
-        final = not given_up and not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
+        final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
         self.out.push_back(job.rpc, hold_off, final and self.leave_at is None)
