--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -28,6 +28,7 @@
 FLOOR_ROOM = 1.0  # of the recent starts, how many of the best arrivals may start
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
+STANDS = 0.1  # share of what is read that fails the check when a line stands
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -427,8 +428,8 @@
         # Better work grows too old unread while lesser work fills the slots: while all cores are busy, only
         # as much starts as has been starting, the best of what comes.
         self.floor, begun = 0.0, int(FLOOR_ROOM * len(self.begun.values(self.now)))
-        if idle <= 0 and self.use >= BUSY and self.pushed.live(self.now):
-            values = sorted(self.values.values(self.now), reverse=True)
+        values = sorted(self.values.values(self.now), reverse=True)
+        if idle <= 0 and self.use >= BUSY and len(self.pushed.values(self.now)) > STANDS * len(values):
             self.floor = values[begun] if begun < len(values) else 0.0
 
     def stretched(self) -> float:
