--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -25,10 +25,9 @@
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
 FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
-FLOOR_ROOM = 1.0  # of the recent starts, how many of the best arrivals may start
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
-STANDS = 0.1  # share of what is read that fails the check when a line stands
+STANDS = 0.15  # share of what is read that fails the check when a line stands
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -153,8 +152,7 @@
         self.call_recent = Ring(4, 250.0)
         self.call_load = Ring(11, max(1.0, settings.calls_over / 10))
         self.lingering: list[float] = []  # ends of abandoned calls that the layer below may still hold
-        self.rate: float | None = None  # calls below a second; None while it keeps up
-        self.tokens = 1.0
+        self.tokens = self.rate = inf  # calls below a second; unbounded while it keeps up
         self.advert = -1.0
         self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
@@ -359,10 +357,8 @@
         """Called once all events of a moment are in: pushes back what fails the check, starts others."""
         for job in list(self.places[Want.HOLD]):
             # A line that stands starts only the best: the rest is told while it can still go elsewhere.
-            hopeless = self.value(job) < self.floor and self.now - job.arrived > GIVE_UP * (
-                job.limit - job.arrived
-            )
-            if hopeless or not self.in_time(job):
+            waited = (self.now - job.arrived) / max(1.0, job.limit - job.arrived)
+            if not self.in_time(job) or (waited > GIVE_UP and self.value(job) < self.floor):
                 self.resume(job, News.LATE)
         held = self.places[Want.HOLD]
         while held and self.kb > self.set.memory_kb * SAFE:  # own memory: the least worth its work goes first
@@ -427,10 +423,11 @@
         self.cap = max(float(cores), min(self.cap, self.crowd()))
         # Better work grows too old unread while lesser work fills the slots: while all cores are busy, only
         # as much starts as has been starting, the best of what comes.
-        self.floor, begun = 0.0, int(FLOOR_ROOM * len(self.begun.values(self.now)))
-        values = sorted(self.values.values(self.now), reverse=True)
-        if idle <= 0 and self.use >= BUSY and len(self.pushed.values(self.now)) > STANDS * len(values):
-            self.floor = values[begun] if begun < len(values) else 0.0
+        begun, values = len(self.begun.values(self.now)), sorted(self.values.values(self.now), reverse=True)
+        late = len(self.pushed.values(self.now))
+        stands = idle <= 0 and self.use >= BUSY and late > STANDS * len(values)
+        self.floor = values[begun] if stands and begun < len(values) else 0.0
+        self.mode("choosing", self.floor > 0.0, f"of {len(values)} read {begun} begun {late} too late")
 
     def stretched(self) -> float:
         """Measured over base latency: how much longer runs take now than in this server's good times."""
@@ -452,20 +449,17 @@
         mean = sum(good) / len(good) if good else 0.0
         dt = (self.now - self.last) / 1000.0
         if len(recent) >= 6 and (len(good) * 2 < len(recent) or (base and mean > 3.0 * base)):
-            self.rate = max(1.0, min(self.rate or 1e9, len(recent)) * (1.0 - 0.5 * dt))
-        elif self.rate is not None:
-            self.rate *= 1.0 + dt
-            if self.rate > 2.0 * len(recent) + 10.0:
-                self.rate = None
-        if self.rate is not None:
-            self.tokens = min(self.tokens + self.rate * dt, max(1.0, self.rate * 0.2))
+            self.rate = max(1.0, min(self.rate, len(recent)) * (1.0 - 0.5 * dt))
+        else:
+            self.rate = inf if self.rate > 2.0 * len(recent) + 10.0 else self.rate * (1.0 + dt)
+        self.tokens = min(self.tokens + self.rate * dt, max(1.0, 0.2 * self.rate)) if dt else self.tokens
         self.lingering = [t for t in self.lingering if t > self.now]
         in_hand = len(self.places[Want.CALL]) + len(self.lingering)
         self.call_load.add(self.now, in_hand * (self.now - self.last))
-        self.mode("paced calls", self.rate is not None, f"mean {mean:.0f} base {base:.0f} ms")
+        self.mode("paced calls", self.rate < inf, f"mean {mean:.0f} base {base:.0f} ms")
 
     def may_call(self, job: Job) -> bool:
-        if self.rate is not None and self.tokens < 1.0:
+        if self.tokens < 1.0:
             return False
         if self.set.below is Below.SHARED and self.set.calls_out > 0:
             # The shared store falls when all hold too many, and slow calls are in hand for long: what was in
@@ -482,7 +476,7 @@
             j: -j.rpc.method.criticality * (1.0 - j.rpc.method.skip_share) for j in self.places[Want.LINE_UP]
         }
         for place, job in enumerate(sorted(gain, key=gain.__getitem__), 1):
-            wait = max(self.now - job.called_at, place * 1000.0 / self.rate if self.rate else 0.0)
+            wait = max(self.now - job.called_at, place * 1000.0 / self.rate)
             if self.may_call(job):
                 self.tokens -= 1.0
                 self.resume(job, News.GO)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -108,6 +108,9 @@
                 poor = b.read()
                 b.server.settle()
                 self.assertEqual(b.fates(poor) == ["run"], starts)
+                if not starts:  # it is told while it can still go elsewhere
+                    b.tick(150.0, use, on_cores)
+                    self.assertEqual(b.fates(poor), ["push_back"])
 
     def test_memory(self) -> None:
         b = Bench(memory_kb=250.0)
