--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -504,7 +504,7 @@
         # further tries that arrive here show where they are marked.
         walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
         final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
-        away = 1.0 if self.leave_at is not None else max(1.0 - self.keeps_up, 0.3 * (self.floor > 0.0))
+        away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
         self.out.push_back(job.rpc, hold_off, final and self.leave_at is None)
 
