--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -27,7 +27,7 @@
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
-STANDS = 0.15  # share of what is read that fails the check when a line stands
+STANDS = 0.1  # share of what is read that fails the check when a line stands
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
