--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -2,6 +2,7 @@
 import json
 import unittest
 from typing import Any
+from unittest import mock
 
 from landingshift.drill.door import main
 
@@ -39,6 +40,13 @@
         self.assertIn(["Execute", 3, "aa"], out)
         self.assertEqual([v for v in out if v[0] == "Yield"], [["Yield", n] for n in (1, 2, 3, 4)])
 
+    def test_an_exception_in_the_module_is_reported(self) -> None:
+        with mock.patch("landingshift.drill.door.Server.settle", side_effect=ValueError("odd")):
+            _, out, _ = exchange(["Batch", 10.0, 1], START, ["End"], ["Batch", 14.0, 2], READ, ["End"])
+        told = [v for v in out if v[0] == "GiveIn"]
+        self.assertEqual([v[1] for v in told], [3])
+        self.assertIn("odd", told[0][2])
+
     def test_malformed(self) -> None:
         batch = ["Batch", 10.0, 1]
         for lines, word in [
