A third of the CPU: rings keep their lists, a server with nothing held looks every 200 ms

Cause: at full size the adapter was cut off (190 us an event, most of them timers of 500 instances); each look rebuilt some 20 lists. Rings now remake a list only after a change, the look comes every 50 ms only while RPCs are held or line up for a call, else when the next RPC must end or after 200 ms. Calls in hand are counted when they end, so a coarser look cannot miss them.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from enum import Enum
+from enum import Enum, IntEnum
 from math import inf
 from random import Random
 
@@ -17,6 +17,7 @@
 from landingshift.interface import Stopping, Tenant
 
 TICK = 50.0  # between two looks at the gauges and the hold
+REST = 200.0  # the same while nothing is held: idle servers of a large fleet must cost next to nothing
 MARGIN_SHARE = 0.7  # the learned p99 margin is capped at this share of an RPC's whole time
 SAFE = 0.85  # of each limit that kills a server or the store
 UNREAD = 0.5  # of the shortest target: what waits unread for so long says the server drowns in reads
@@ -33,7 +34,7 @@
 
 
 # What an RPC wants done; LINE_UP is for a call below, LEAVE means that nobody waits any more.
-Want = Enum("Want", "HOLD JOIN RUN LINE_UP CALL SKIP PUSH_BACK ABORT LEAVE")
+Want = IntEnum("Want", "HOLD JOIN RUN LINE_UP CALL SKIP PUSH_BACK ABORT LEAVE")
 # What it is resumed with; LATE is held too long or no room, ENDED that its run is over.
 News = Enum("News", "START LATE DUE GONE NEEDS_CALL GO NO_CALL ENDED")
 Life = Generator[Want, "News | Outcome", None]
@@ -44,35 +45,41 @@
     """Values of the last `count` x `width` ms, in time buckets that are used again."""
 
     def __init__(self, count: int, width: float) -> None:
-        self.width, self.count = width, count
-        self.stamps = [-1] * count
+        self.width, self.count, self.stamp, self.fresh = width, count, -1, True
         self.buckets: list[list[float]] = [[] for _ in range(count)]
+        self.all: list[float] = []  # made anew only after a change: most looks find none
 
-    def add(self, now: float, value: float) -> None:
+    def turn(self, now: float) -> None:
         stamp = int(now // self.width)
-        i = stamp % self.count
-        if self.stamps[i] != stamp:
-            self.stamps[i] = stamp
-            self.buckets[i] = []
-        self.buckets[i].append(value)
+        if stamp != self.stamp:
+            for old in range(max(self.stamp, stamp - self.count) + 1, stamp + 1):
+                if self.buckets[old % self.count]:
+                    self.buckets[old % self.count] = []
+                    self.fresh = False
+            self.stamp = stamp
 
-    def live(self, now: float) -> list[list[float]]:
-        first = int(now // self.width) - self.count
-        return [b for s, b in zip(self.stamps, self.buckets, strict=True) if s > first and b]
+    def add(self, now: float, value: float) -> None:
+        self.turn(now)
+        self.buckets[self.stamp % self.count].append(value)
+        self.fresh = False
 
     def values(self, now: float) -> list[float]:
-        return [v for b in self.live(now) for v in b]
+        self.turn(now)
+        if not self.fresh:
+            self.all, self.fresh = [v for b in self.buckets for v in b], True
+        return self.all
 
     def latest(self, now: float) -> list[float]:
-        last = int(now // self.width)
-        return [v for s, b in zip(self.stamps, self.buckets, strict=True) if s >= last - 1 for v in b]
+        self.turn(now)
+        return [v for s in (self.stamp - 1, self.stamp) for v in self.buckets[s % self.count]]
 
     def mean(self, now: float, none: float) -> float:
         values = self.values(now)
         return sum(values) / len(values) if values else none
 
     def lowest(self, now: float, none: float) -> float:
-        return min((sum(b) / len(b) for b in self.live(now) if len(b) > 7), default=none)
+        self.turn(now)
+        return min((sum(b) / len(b) for b in self.buckets if len(b) > 7), default=none)
 
 
 class Learned:
@@ -83,6 +90,7 @@
         self.own = Ring(8, 5000.0)  # run times without calls
         self.hints = Ring(8, 5000.0)
         self.nearer = Ring(8, 5000.0)  # 1 where the hint came nearer to the run than the mean did, else -1
+        self.seen: list[float] = []
         self.p99 = self.mean = self.base = self.hint_mean = self.trust = 0.0
 
     def ran(self, now: float, job: Job, whole: float) -> None:
@@ -95,7 +103,10 @@
         self.own.add(now, own)
 
     def refresh(self, now: float) -> None:
-        runs = sorted(self.whole.values(now))
+        if self.whole.values(now) is self.seen:
+            return  # no news: most servers of a large fleet hear little between two looks
+        self.seen = self.whole.values(now)
+        runs = sorted(self.seen)
         self.p99 = runs[int(len(runs) * 0.99)] if runs else 0.0
         self.mean = self.own.mean(now, 0.0)
         self.base = self.own.lowest(now, self.mean)
@@ -150,16 +161,16 @@
         self.shortest = min(m.target for m in settings.methods)
         self.call_times = Ring(10, 3000.0)
         self.call_recent = Ring(4, 250.0)
-        self.call_load = Ring(11, max(1.0, settings.calls_over / 10))
-        self.lingering: list[float] = []  # ends of abandoned calls that the layer below may still hold
+        self.call_load = Ring(11, max(1.0, settings.calls_over / 10))  # how long ended calls were in hand
         self.tokens = self.rate = inf  # calls below a second; unbounded while it keeps up
         self.advert = -1.0
         self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
         self.run_until = inf  # what arrives later is not run
         self.modes: dict[str, bool] = {}
+        self.alarm = now
         out.health(True, True)
-        out.wake(TICK * Random(seed).random())  # so that a fleet does not look at its gauges in step
+        self.wake(TICK * Random(seed).random())  # so that a fleet does not look at its gauges in step
 
     # An RPC, from read to answer
 
@@ -246,7 +257,7 @@
             self.out.call(rpc, allow)
         elif want in (Want.ABORT, Want.LEAVE):
             if was is Want.CALL:
-                self.lingering.append(self.now + self.set.linger)
+                self.count_call(job, True)
             if want is Want.ABORT:
                 self.out.abort(rpc)
             if self.set.stopping is not Stopping.NONE:
@@ -271,6 +282,8 @@
         self.do(job, next(job.life))
         if job.at is Want.HOLD and not self.may_hold(job):
             self.resume(job, News.LATE)
+        if job.limit < self.alarm + TICK:
+            self.wake(TICK)  # No RPC lost: it must not end while this server rests
         return job
 
     def may_hold(self, job: Job) -> bool:
@@ -291,7 +304,7 @@
         if job.at is None:
             return
         if job.at is Want.CALL:
-            self.lingering.append(self.now + self.set.linger)
+            self.count_call(job, True)
         if job.at is not Want.JOIN and outcome is Outcome.OK:
             if job.learned.base:
                 self.stretch.add(self.now, max(1.0, elapsed - job.called_for) / job.learned.base)
@@ -309,8 +322,7 @@
         job.called_for += elapsed
         if outcome is Outcome.OK:
             self.call_times.add(self.now, elapsed)
-        elif outcome in (Outcome.NO_ANSWER, Outcome.CONNECTION_LOST):
-            self.lingering.append(self.now + self.set.linger)
+        self.count_call(job, outcome in (Outcome.NO_ANSWER, Outcome.CONNECTION_LOST))
         self.call_recent.add(self.now, elapsed if outcome is Outcome.OK else -1.0)
         self.resume(job, outcome)
 
@@ -324,32 +336,47 @@
             for job in place:
                 job.due = min(job.due, self.leave_at - TICK)
         self.out.health(False, True)
+        self.wake(TICK)
         self.out.log(f"draining: {left:.0f} ms left, {len(self.places[Want.HOLD])} held")
 
+    def wake(self, delay: float) -> None:
+        self.alarm = self.now + delay
+        self.out.wake(delay)
+
     def woken(self, gauges: Gauges) -> None:
-        self.out.wake(TICK)
+        if self.now < self.alarm - 1.0:
+            return  # an earlier look has taken this one's place
         for learned in self.learned.values():
             learned.refresh(self.now)
         self.move_cap(gauges)
-        self.follow_calls()
-        self.judge_tenants()
+        if self.set.below is not Below.NONE:
+            self.follow_calls()
+        if self.now // 1000.0 > self.last // 1000.0:
+            self.judge_tenants()
         for job in [j for j, end in self.kept.items() if end <= self.now]:
             del self.kept[job]
             self.kb -= self.set.key_kb
+        next_look = self.now + REST
         for job in [j for place in self.places.values() for j in place]:
-            self.sweep(job)
+            next_look = min(next_look, self.sweep(job))
         self.tell()
         self.last = self.now
+        self.wake(max(TICK, next_look - self.now))
 
-    def sweep(self, job: Job) -> None:
+    def sweep(self, job: Job) -> float:
+        """Ends what must end by now; returns when to look again."""
         if job.at in (Want.ABORT, Want.LEAVE):
-            if self.set.stopping is not Stopping.NONE:
-                self.out.stop(job.rpc)  # a stop is lost on cores that stand still: say it again
+            if self.set.stopping is Stopping.NONE:
+                return inf
+            self.out.stop(job.rpc)  # a stop is lost on cores that stand still: say it again
         elif job.at is not Want.HOLD:
             # No RPC lost: running work is answered for in time, and stopped once it is worthless.
             by = job.due if self.set.stopping is Stopping.NONE else min(job.due, job.limit)
             if self.now + TICK >= by:
                 self.resume(job, News.DUE)
+            elif job.at is not Want.LINE_UP:
+                return by - TICK
+        return self.now + TICK
 
     # The check, the cap and the start order
 
@@ -374,7 +401,10 @@
                 self.resume(min(held, key=self.order), News.LATE)
             else:
                 break
-        self.place_calls()
+        if self.places[Want.LINE_UP]:
+            self.place_calls()
+        if (held or self.places[Want.LINE_UP]) and self.alarm > self.now + TICK:
+            self.wake(TICK)
 
     def in_time(self, job: Job) -> bool:
         if job.arrived > self.run_until:
@@ -388,7 +418,7 @@
         worth = self.value(job)
         if self.now + job.learned.mean > job.target:
             worth *= job.rpc.method.late_share
-        return worth, job.arrived if self.pushed.live(self.now) else -job.arrived
+        return worth, job.arrived if self.pushed.values(self.now) else -job.arrived
 
     def value(self, job: Job) -> float:
         worth = job.rpc.method.criticality * self.share_worth(job.rpc)
@@ -453,21 +483,21 @@
         else:
             self.rate = inf if self.rate > 2.0 * len(recent) + 10.0 else self.rate * (1.0 + dt)
         self.tokens = min(self.tokens + self.rate * dt, max(1.0, 0.2 * self.rate)) if dt else self.tokens
-        self.lingering = [t for t in self.lingering if t > self.now]
-        in_hand = len(self.places[Want.CALL]) + len(self.lingering)
-        self.call_load.add(self.now, in_hand * (self.now - self.last))
         self.mode("paced calls", self.rate < inf, f"mean {mean:.0f} base {base:.0f} ms")
 
+    def count_call(self, job: Job, lost: bool) -> None:
+        lingers = self.set.linger if lost else 0.0  # the layer below may still hold it
+        self.call_load.add(self.now, self.now - job.called_at + lingers)
+
     def may_call(self, job: Job) -> bool:
         if self.tokens < 1.0:
             return False
         if self.set.below is Below.SHARED and self.set.calls_out > 0:
             # The shared store falls when all hold too many, and slow calls are in hand for long: what was in
             # hand and all that the calls out may still take, abandoned ones included, stay within our share.
-            ends = [j.call_end for j in self.places[Want.CALL]] + self.lingering
-            ahead = sum(e - self.now for e in ends) + self.allow(job) + self.set.linger
+            out = sum(j.call_end - j.called_at for j in self.places[Want.CALL])
             load = sum(self.call_load.values(self.now))
-            return load + ahead <= self.set.calls_out * self.set.calls_over * SAFE
+            return load + out + self.allow(job) + self.set.linger <= self.set.calls_out * self.set.calls_over * SAFE
         return True
 
     def place_calls(self) -> None:
