Idle connections are closed so that open ones stay near 8 a core

The idle time now follows the links gauge. Covers any flood of callers that come seldom; it may cost reconnects where many callers come back within a second.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -29,6 +29,7 @@
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
 STANDS = 0.1  # share of what is read that fails the check when a line stands
+LINKS = 8.0  # open connections a core above which idle ones are closed sooner
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -163,7 +164,7 @@
         self.call_recent = Ring(4, 250.0)
         self.call_load = Ring(11, max(1.0, settings.calls_over / 10))  # how long ended calls were in hand
         self.tokens = self.rate = inf  # calls below a second; unbounded while it keeps up
-        self.advert = -1.0
+        self.advert, self.link_idle = -1.0, settings.link_idle
         self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
         self.run_until = inf  # what arrives later is not run
@@ -353,6 +354,7 @@
             self.follow_calls()
         if self.now // 1000.0 > self.last // 1000.0:
             self.judge_tenants()
+            self.spare_links(gauges.links or 0.0)
         for job in [j for j, end in self.kept.items() if end <= self.now]:
             del self.kept[job]
             self.kb -= self.set.key_kb
@@ -562,6 +564,15 @@
             self.advert = amount
             self.out.advertise(amount)
 
+    def spare_links(self, links: float) -> None:
+        """Many callers that each come seldom fill the table of connections: it taxes the cores, and full it
+        keeps callers out. Closing too soon costs those that do come back a new connection."""
+        idle = self.link_idle * max(0.5, min(2.0, LINKS * self.set.cores / max(1.0, links)))
+        idle = max(10.0, min(idle, self.set.link_idle))
+        if idle != self.link_idle:
+            self.link_idle = idle
+            self.out.reap(idle)
+
     def biggest(self) -> float:
         """The share of the busiest caller: credit split evenly would starve it while others leave theirs."""
         seen = self.callers.values(self.now)
--- a/landingshift/drill/door.py
+++ b/landingshift/drill/door.py
@@ -92,7 +92,7 @@
 
     def elapsed(self, fields: list[Any]) -> None:
         stats = fields[1] or {}
-        self.server.woken(Gauges(stats.get("core_use"), stats.get("on_cores")))
+        self.server.woken(Gauges(stats.get("core_use"), stats.get("on_cores"), stats.get("links")))
 
     def say(self, name: str, rpc: Rpc, *values: Any) -> None:
         assert isinstance(rpc, WireRpc)
@@ -135,6 +135,9 @@
     def advertise(self, amount: float) -> None:
         self.reply.append(["Advertise", self.instance, amount])
 
+    def reap(self, idle: float) -> None:
+        self.reply.append(["ReapAfter", self.instance, idle])
+
     def wake(self, delay: float) -> None:
         self.wakes += 1
         self.reply.append(["NotifyMe", self.instance, f"w{self.wakes}", delay])
--- a/landingshift/drill/settings.py
+++ b/landingshift/drill/settings.py
@@ -55,6 +55,7 @@
         deadline_told=bool(extra.get("passes-deadline")),
         marks_retry=bool((data.get("clients") or {}).get("marks-retry")),
         hold_off=bool(permits.get("retry-after")),
+        link_idle=extra.get("caller-idle") or 0.0,
         hold_off_max=permits.get("max-retry-after") or 0.0,
         drain_grace=rules["drain-grace"],
         crowd=rules["tip-multiple"],
--- a/landingshift/interface.py
+++ b/landingshift/interface.py
@@ -90,6 +90,7 @@
     marks_retry: bool
     hold_off: bool  # pushbacks may carry a hold-off
     hold_off_max: float
+    link_idle: float  # callers close idle connections after this
     drain_grace: float
     crowd: float  # RPCs on the cores for each core that a warm server survives
 
@@ -115,6 +116,7 @@
 class Gauges:
     core_use: float | None
     on_cores: float | None
+    links: float | None  # connections open
 
 
 class Actions(Protocol):
@@ -130,5 +132,6 @@
     def closed(self, rpc: Rpc) -> None: ...  # the module will not speak of it again
     def health(self, good: bool, cheap: bool) -> None: ...
     def advertise(self, amount: float) -> None: ...
+    def reap(self, idle: float) -> None: ...  # closes connections idle for so long
     def wake(self, delay: float) -> None: ...
     def log(self, text: str) -> None: ...
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,6 +33,7 @@
     marks_retry=True,
     hold_off=True,
     hold_off_max=1000.0,
+    link_idle=30000.0,
     drain_grace=1000.0,
     crowd=8.0,
 )
@@ -54,10 +55,10 @@
         rpc = Rpc(**{**BLANK, **facts})
         return self.server.read(rpc)
 
-    def tick(self, ms: float = 50.0, use: float = 1.0, on_cores: float | None = None) -> None:
+    def tick(self, ms: float = 50.0, use: float = 1.0, on_cores: float | None = None, links: float = 0.0) -> None:
         self.server.now += ms
         cores = len(self.names("run"))
-        self.server.woken(Gauges(use, cores if on_cores is None else on_cores))
+        self.server.woken(Gauges(use, cores if on_cores is None else on_cores, links))
         self.server.settle()
 
     def at(self, now: float) -> None:
