--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -26,6 +26,7 @@
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
 FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
+READS_PER_START = 2.5  # reads for each start from which the same is said where no try is marked
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
 STANDS = 0.1  # share of what is read that fails the check when a line stands
@@ -70,10 +71,6 @@
             self.all, self.fresh = [v for b in self.buckets for v in b], True
         return self.all
 
-    def latest(self, now: float) -> list[float]:
-        self.turn(now)
-        return [v for s in (self.stamp - 1, self.stamp) for v in self.buckets[s % self.count]]
-
     def mean(self, now: float, none: float) -> float:
         values = self.values(now)
         return sum(values) / len(values) if values else none
@@ -141,6 +138,11 @@
         """Past this an answer is worth nothing: the deadline, or the target where late worth is nil."""
         return self.due if self.rpc.method.late_share > 0 else min(self.due, self.target)
 
+    @property
+    def span(self) -> float:
+        """The whole of its time."""
+        return max(1.0, self.limit - self.arrived)
+
 
 class Server:
     def __init__(self, settings: Settings, seed: int, out: Actions, now: float) -> None:
@@ -152,7 +154,7 @@
         self.kept: dict[Job, float] = {}  # live table entries and their ends
         self.cap = float(settings.cores)
         self.use, self.cut_at = 0.0, now
-        self.stretch = Ring(3, 1000.0)  # own run times over the method's base
+        self.stretch = Ring(2, 1000.0)  # own run times over the method's base
         self.tenant_rate: dict[Tenant, Ring] = {t: Ring(5, 1000.0) for t in settings.tenants}
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed, self.callers = Ring(4, 500.0), Ring(4, 1000.0)
@@ -386,8 +388,8 @@
         """Called once all events of a moment are in: pushes back what fails the check, starts others."""
         for job in list(self.places[Want.HOLD]):
             # A line that stands starts only the best: the rest is told while it can still go elsewhere.
-            waited = (self.now - job.arrived) / max(1.0, job.limit - job.arrived)
-            if not self.in_time(job) or (waited > GIVE_UP and self.value(job) < self.floor):
+            lost = self.value(job) < self.floor and self.now - job.arrived > GIVE_UP * job.span
+            if lost or not self.in_time(job):
                 self.resume(job, News.LATE)
         held = self.places[Want.HOLD]
         while held and self.kb > self.set.memory_kb * SAFE:  # own memory: the least worth its work goes first
@@ -411,8 +413,7 @@
     def in_time(self, job: Job) -> bool:
         if job.arrived > self.run_until:
             return False  # safe drain
-        whole = job.limit - job.arrived
-        margin = min(job.learned.p99 * job.learned.size(job.rpc), whole * MARGIN_SHARE)
+        margin = min(job.learned.p99 * job.learned.size(job.rpc), job.span * MARGIN_SHARE)
         return self.now + margin <= job.limit
 
     def order(self, job: Job) -> tuple[float, float]:
@@ -450,7 +451,8 @@
         if idle > 0 and self.places[Want.HOLD]:
             self.cap = max(self.cap, running + idle)
         elif self.use >= BUSY and self.now - self.cut_at >= 500.0:
-            self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, self.stretched())))
+            recent = self.stretch.values(self.now)  # measured over base latency
+            self.cap *= max(0.5, min(1.0, len(recent) / max(0.01, sum(recent)))) if len(recent) > 4 else 1.0
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
         # Better work grows too old unread while lesser work fills the slots: while all cores are busy, only
@@ -461,11 +463,6 @@
         self.floor = values[begun] if stands and begun < len(values) else 0.0
         self.mode("choosing", self.floor > 0.0, f"of {len(values)} read {begun} begun {late} too late")
 
-    def stretched(self) -> float:
-        """Measured over base latency: how much longer runs take now than in this server's good times."""
-        recent = self.stretch.latest(self.now)
-        return sum(recent) / len(recent) if len(recent) > 4 else 1.0
-
     # Calls below
 
     def allow(self, job: Job) -> float:
@@ -504,17 +501,13 @@
 
     def place_calls(self) -> None:
         mean = self.call_times.mean(self.now, 0.0)
-        gain = {
-            j: -j.rpc.method.criticality * (1.0 - j.rpc.method.skip_share) for j in self.places[Want.LINE_UP]
-        }
-        for place, job in enumerate(sorted(gain, key=gain.__getitem__), 1):
+        line = sorted(self.places[Want.LINE_UP], key=lambda j: (j.rpc.method.skip_share - 1.0) * j.rpc.method.criticality)
+        for place, job in enumerate(line, 1):
             wait = max(self.now - job.called_at, place * 1000.0 / self.rate)
             if self.may_call(job):
                 self.tokens -= 1.0
                 self.resume(job, News.GO)
-            elif self.allow(job) < 2.0 * mean or (
-                job.rpc.method.skip_share > 0 and wait > CALL_WAIT * (job.limit - job.arrived)
-            ):
+            elif self.allow(job) < 2.0 * mean or (job.rpc.method.skip_share > 0 and wait > CALL_WAIT * job.span):
                 self.resume(job, News.NO_CALL)  # its turn would come too late
 
     # What callers are told
@@ -533,8 +526,11 @@
         if not self.in_time(job):
             self.pushed.add(self.now, 1.0)  # not those given up early: they would keep the line standing
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
-        # further tries that arrive here show where they are marked.
-        walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
+        # further tries that arrive here show where they are marked, and else the reads that come to nothing.
+        if self.set.marks_retry:
+            walks = self.tries_seen.mean(self.now, 0.0) < WALKS
+        else:
+            walks = len(self.values.values(self.now)) <= READS_PER_START * len(self.begun.values(self.now))
         final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
