--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -26,7 +26,6 @@
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
 FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
-READS_PER_START = 2.5  # reads for each start from which the same is said where no try is marked
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
 STANDS = 0.1  # share of what is read that fails the check when a line stands
@@ -526,11 +525,8 @@
         if not self.in_time(job):
             self.pushed.add(self.now, 1.0)  # not those given up early: they would keep the line standing
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
-        # further tries that arrive here show where they are marked, and else the reads that come to nothing.
-        if self.set.marks_retry:
-            walks = self.tries_seen.mean(self.now, 0.0) < WALKS
-        else:
-            walks = len(self.values.values(self.now)) <= READS_PER_START * len(self.begun.values(self.now))
+        # further tries that arrive here show where they are marked.
+        walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
         final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
         hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
