--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -29,7 +29,7 @@
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
 STANDS = 0.1  # share of what is read that fails the check when a line stands
-LINKS = 8.0  # open connections a core above which idle ones are closed sooner
+LINKS = 3.0  # open connections a core above which idle ones are closed sooner
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
