Cap cut by the crowd on the cores where too few runs end to know their stretch

Small servers end two runs a second: the cap never met the five it asks for and stayed at its highest.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -158,7 +158,7 @@
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed, self.callers = Ring(4, 500.0), Ring(4, 1000.0)
         self.values, self.begun = Ring(4, 500.0), Ring(4, 500.0)  # worth over work of all read; starts
-        self.floor = self.reading = 0.0
+        self.floor = self.reading = self.on_cores = 0.0
         self.tries_seen, self.unread = Ring(4, 500.0), Ring(2, 250.0)
         self.shortest = min(m.target for m in settings.methods)
         self.call_times = Ring(10, 3000.0)
@@ -445,13 +445,17 @@
     def move_cap(self, gauges: Gauges) -> None:
         cores, running = self.set.cores, len(self.places[Want.RUN])
         self.use = gauges.core_use if gauges.core_use is not None else min(1.0, running / cores)
+        self.on_cores = 0.7 * self.on_cores + 0.3 * (gauges.on_cores or 0.0)
         self.reading = 0.7 * self.reading + 0.3 * max(0.0, (gauges.on_cores or 0.0) - running)
         idle = cores - (gauges.on_cores if gauges.on_cores is not None else running)
         if idle > 0 and self.places[Want.HOLD]:
             self.cap = max(self.cap, running + idle)
         elif self.use >= BUSY and self.now - self.cut_at >= 500.0:
-            recent = self.stretch.values(self.now)  # measured over base latency
-            self.cap *= max(0.5, min(1.0, len(recent) / max(0.01, sum(recent)))) if len(recent) > 4 else 1.0
+            # Measured over base latency. Where too few runs end to know it, runs that share the cores last as
+            # much longer as more are on the cores than there are: a small server's cap must not stay up.
+            recent = self.stretch.values(self.now)
+            stretch = sum(recent) / len(recent) if len(recent) > 4 else self.on_cores / cores
+            self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, stretch)))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
         # Better work grows too old unread while lesser work fills the slots: while all cores are busy, only
