--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -29,7 +29,7 @@
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
 STANDS = 0.1  # share of what is read that fails the check when a line stands
-LINKS = 3.0  # open connections a core above which idle ones are closed sooner
+LINKS = 3.0  # open connections a core above which idle ones are closed sooner, where few callers come back
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -157,6 +157,7 @@
         self.tenant_rate: dict[Tenant, Ring] = {t: Ring(5, 1000.0) for t in settings.tenants}
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed, self.callers = Ring(4, 500.0), Ring(4, 1000.0)
+        self.back = Ring(5, 2000.0)  # 1 where a caller was here within those 4 s, else 0
         self.values, self.begun = Ring(4, 500.0), Ring(4, 500.0)  # worth over work of all read; starts
         self.floor = self.reading = self.on_cores = 0.0
         self.tries_seen, self.unread = Ring(4, 500.0), Ring(2, 250.0)
@@ -274,6 +275,7 @@
         job = Job(rpc, self.learned[rpc.method], self.now)
         if rpc.tenant is not None:
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
+        self.back.add(self.now, 1.0 if rpc.caller in self.callers.values(self.now) else 0.0)
         self.callers.add(self.now, rpc.caller)
         self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         self.unread.add(self.now, rpc.waited)
@@ -454,7 +456,7 @@
             # Measured over base latency. Where too few runs end to know it, runs that share the cores last as
             # much longer as more are on the cores than there are: a small server's cap must not stay up.
             recent = self.stretch.values(self.now)
-            stretch = sum(recent) / len(recent) if len(recent) > 4 else self.on_cores / cores
+            stretch = sum(recent) / len(recent) if len(recent) > 4 else self.on_cores / cores / 1.5
             self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, stretch)))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
@@ -562,9 +564,9 @@
 
     def spare_links(self, links: float) -> None:
         """Many callers that each come seldom fill the table of connections: it taxes the cores, and full it
-        keeps callers out. Closing too soon costs those that do come back a new connection."""
-        idle = self.link_idle * max(0.5, min(2.0, LINKS * self.set.cores / max(1.0, links)))
-        idle = max(10.0, min(idle, self.set.link_idle))
+        keeps callers out. Those that do come back soon would pay for a new one."""
+        fewer = LINKS * self.set.cores / max(1.0, links) if self.back.mean(self.now, 1.0) < 0.5 else 2.0
+        idle = min(max(10.0, self.link_idle * max(0.5, min(2.0, fewer))), self.set.link_idle)
         if idle != self.link_idle:
             self.link_idle = idle
             self.out.reap(idle)
