--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -456,7 +456,7 @@
             # Measured over base latency. Where too few runs end to know it, runs that share the cores last as
             # much longer as more are on the cores than there are: a small server's cap must not stay up.
             recent = self.stretch.values(self.now)
-            stretch = sum(recent) / len(recent) if len(recent) > 4 else self.on_cores / cores / 1.5
+            stretch = sum(recent) / len(recent) if len(recent) > 4 else self.on_cores / cores
             self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, stretch)))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
