--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -30,7 +30,6 @@
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
 STANDS = 0.1  # share of what is read that fails the check when a line stands
 LINKS = 3.0  # open connections a core above which idle ones are closed sooner, where few callers come back
-ASIDE = 3000.0  # for so long at a time a server that cannot keep up leaves the list
 HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
@@ -174,10 +173,7 @@
         self.modes: dict[str, bool] = {}
         self.alarm = now
         out.health(True, True)
-        self.chance = Random(seed)
-        self.aside_until, self.calm = 0.0, False
-        self.shed = Ring(4, 2000.0)  # 1 for each RPC held in vain, 0 for each started
-        self.wake(TICK * self.chance.random())  # so that a fleet does not look at its gauges in step
+        self.wake(TICK * Random(seed).random())  # so that a fleet does not look at its gauges in step
 
     # An RPC, from read to answer
 
@@ -361,7 +357,6 @@
             self.follow_calls()
         if self.now // 1000.0 > self.last // 1000.0:
             self.judge_tenants()
-            self.step_aside()
             self.spare_links(gauges.links or 0.0)
         for job in [j for j, end in self.kept.items() if end <= self.now]:
             del self.kept[job]
@@ -406,7 +401,6 @@
                 break
             if self.kb + best.rpc.kb * (self.set.run_factor - 1.0) <= self.set.memory_kb * SAFE:
                 self.begun.add(self.now, 1.0)
-                self.shed.add(self.now, 0.0)
                 self.resume(best, News.START)
             elif len(held) > 1:  # a full hold must not keep the cores from work
                 self.resume(min(held, key=self.order), News.LATE)
@@ -524,36 +518,16 @@
     # What callers are told
 
     def judge_tenants(self) -> None:
-        read = sum(len(ring.values(self.now)) for ring in self.tenant_rate.values())
-        usual = 5.0 * sum(t.allowance for t in self.set.tenants) / self.set.servers
-        self.calm = read - 1.5 * read**0.5 < usual
         for tenant, ring in self.tenant_rate.items():
             if tenant.allowance > 0:
                 rate = sum(ring.values(self.now)) / 5.0 * self.set.servers
                 over = max(1.0, rate / (tenant.allowance * 1.3))
                 self.worth[tenant] = 1.0 / over + self.set.over_share_worth * (1.0 - 1.0 / over)
 
-    def step_aside(self) -> None:
-        """Callers that take turns send a slow server as much as its faster peers. Where the list follows health
-        it leaves it now and then, for about the share of its RPCs that it holds in vain, while what comes is
-        within all shares: in a flood the load would only move to the others."""
-        if self.leave_at is not None or not self.set.listed_by_health:
-            return
-        share = min(0.4, max(0.0, self.shed.mean(self.now, 0.0) - 0.25))
-        if self.now < self.aside_until:
-            return
-        aside = self.calm and self.chance.random() * ASIDE * (1.0 - share) < 1000.0 * share
-        if aside:
-            self.aside_until = self.now + ASIDE
-        if aside != self.modes.get("aside", False):
-            self.out.health(not aside, True)
-        self.mode("aside", aside, f"{share:.2f} of the time")
-
     def share_worth(self, rpc: Rpc) -> float:
         return self.worth[rpc.tenant] if rpc.tenant else 1.0
 
     def push_back(self, job: Job) -> None:
-        self.shed.add(self.now, 1.0)
         if not self.in_time(job):
             self.pushed.add(self.now, 1.0)  # not those given up early: they would keep the line standing
         # Another try costs a read elsewhere: worth it only while others do not push back too, which the
--- a/landingshift/drill/settings.py
+++ b/landingshift/drill/settings.py
@@ -54,7 +54,6 @@
         advert=ADVERTS[extra.get("say") or "silent"],
         deadline_told=bool(extra.get("passes-deadline")),
         marks_retry=bool((data.get("clients") or {}).get("marks-retry")),
-        listed_by_health=bool(extra.get("readiness")),
         hold_off=bool(permits.get("retry-after")),
         link_idle=extra.get("caller-idle") or 0.0,
         hold_off_max=permits.get("max-retry-after") or 0.0,
--- a/landingshift/interface.py
+++ b/landingshift/interface.py
@@ -88,7 +88,6 @@
     advert: Advert
     deadline_told: bool
     marks_retry: bool
-    listed_by_health: bool  # the callers' list follows health
     hold_off: bool  # pushbacks may carry a hold-off
     hold_off_max: float
     link_idle: float  # callers close idle connections after this
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -31,7 +31,6 @@
     advert=Advert.NONE,
     deadline_told=True,
     marks_retry=True,
-    listed_by_health=True,
     hold_off=True,
     hold_off_max=1000.0,
     link_idle=30000.0,
