The target is the deadline of the check where a late answer keeps less than half its worth

Departure widened: it held for nil late worth only. It may hurt a site of late share just under a half with nowhere else to go.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -134,8 +134,9 @@
 
     @property
     def limit(self) -> float:
-        """Past this an answer is worth nothing: the deadline, or the target where late worth is nil."""
-        return self.due if self.rpc.method.late_share > 0 else min(self.due, self.target)
+        """Past this an answer is worth little: the deadline, or the target where most of the worth goes with it.
+        Better pushed back while another server can still be in time than run late for the rest."""
+        return self.due if self.rpc.method.late_share > 0.5 else min(self.due, self.target)
 
     @property
     def span(self) -> float:
