--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -1,9 +1,8 @@
 """Every decision of landingshift: what a server takes, runs, pushes back and tells its callers.
 
-A program makes one `Server` per instance (see `interface.py` for the types and the actions). It sets `now`
-and calls `read`, `ended`, `wants_call`, `call_done`, `hangup`, `quiesce` or `woken` for each event, then
-`settle` once all events of that moment are in. Each RPC is a generator (`Server.life`) that yields what it
-wants done and is resumed with what came of it. All times are milliseconds.
+A program makes one `Server` per instance (types and actions: `interface.py`), sets `now`, calls `read`,
+`ended`, `wants_call`, `call_done`, `hangup`, `quiesce` or `woken` for each event, then `settle` once all of a
+moment are in. Each RPC is a generator (`Server.life`) that yields what it wants done. Times are milliseconds.
 """
 
 from __future__ import annotations
@@ -24,13 +23,12 @@
 BUSY = 0.95  # core use from which the cores count as busy
 CALL_WAIT = 0.1  # of its whole time that an RPC may line up for a call it can leave out
 HEARD = 0.2  # least said to callers: one that hears nothing forgets, and sends as if nothing had been said
-FLOOD = 0.7  # a tenant whose RPCs are worth less than this share of their usual worth floods
 WALKS = 0.1  # share of further tries among what is read from which the fleet counts as pushing back too
 READ_CORES = 0.5  # share of the cores that may read before the cap gives way to reads
 GIVE_UP = 0.12  # of its whole time that an RPC is held which is not among the best that start
+LATE_WORTH = 0.5  # an answer that keeps less than this once late is better pushed back than run late
 STANDS = 0.1  # share of what is read that fails the check when a line stands
 LINKS = 3.0  # open connections a core above which idle ones are closed sooner, where few callers come back
-HOLD_ROOM = 1.0  # held RPCs a core that the advert leaves room for
 NEVER_RAN = (Outcome.PUSHED_BACK, Outcome.NO_CONNECTION)
 
 
@@ -39,7 +37,6 @@
 # What it is resumed with; LATE is held too long or no room, ENDED that its run is over.
 News = Enum("News", "START LATE DUE GONE NEEDS_CALL GO NO_CALL ENDED")
 Life = Generator[Want, "News | Outcome", None]
-Steps = Generator[Want, "News | Outcome", "News | Outcome"]
 
 
 class Ring:
@@ -85,36 +82,20 @@
     def __init__(self) -> None:
         self.whole = Ring(8, 2000.0)  # run times, calls included
         self.own = Ring(8, 5000.0)  # run times without calls
-        self.hints = Ring(8, 5000.0)
-        self.nearer = Ring(8, 5000.0)  # 1 where the hint came nearer to the run than the mean did, else -1
         self.seen: list[float] = []
-        self.p99 = self.mean = self.base = self.hint_mean = self.trust = 0.0
+        self.p99 = self.mean = self.base = 0.0
 
     def ran(self, now: float, job: Job, whole: float) -> None:
-        own = max(1.0, whole - job.called_for)
         self.whole.add(now, whole)
-        if job.rpc.hint:
-            self.hints.add(now, job.rpc.hint)
-            guess = self.mean * job.rpc.hint / self.hint_mean if self.hint_mean else 0.0
-            self.nearer.add(now, 1.0 if abs(guess - own) < abs(self.mean - own) else -1.0)
-        self.own.add(now, own)
+        self.own.add(now, max(1.0, whole - job.called_for))
 
     def refresh(self, now: float) -> None:
-        if self.whole.values(now) is self.seen:
-            return  # no news: most servers of a large fleet hear little between two looks
-        self.seen = self.whole.values(now)
-        runs = sorted(self.seen)
-        self.p99 = runs[int(len(runs) * 0.99)] if runs else 0.0
-        self.mean = self.own.mean(now, 0.0)
-        self.base = self.own.lowest(now, self.mean)
-        self.hint_mean = self.hints.mean(now, 0.0)
-        self.trust = max(0.0, self.nearer.mean(now, 0.0))  # hints may be wrong: believed as they prove right
-
-    def size(self, rpc: Rpc) -> float:
-        """This RPC's work over the mean of its method."""
-        if not rpc.hint or not self.hint_mean or not self.trust:
-            return 1.0
-        return float(max(0.1, min(10.0, rpc.hint / self.hint_mean)) ** self.trust)
+        runs = self.whole.values(now)
+        if runs is not self.seen:  # else no news: servers of a large fleet hear little between two looks
+            self.seen = runs
+            self.p99 = sorted(runs)[int(len(runs) * 0.99)] if runs else 0.0
+            self.mean = self.own.mean(now, 0.0)
+            self.base = self.own.lowest(now, self.mean)
 
 
 class Job:
@@ -128,20 +109,17 @@
         self.arrived = now - rpc.waited
         self.due = max(now, now + rpc.remaining if rpc.remaining is not None else self.arrived + m.deadline)
         self.target = min(self.arrived + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
+        self.span = max(1.0, self.limit - self.arrived)  # the whole of its time
         self.called_for = self.called_at = self.call_end = 0.0
-        self.tries = 0
-        self.ran = False
+        self.tries, self.ran = 0, False
 
-    @property
-    def limit(self) -> float:
-        """Past this an answer is worth little: the deadline, or the target where most of the worth goes with it.
-        Better pushed back while another server can still be in time than run late for the rest."""
-        return self.due if self.rpc.method.late_share > 0.5 else min(self.due, self.target)
+    def until(self, late_share: float) -> float:
+        """The deadline, or the target where a late answer keeps no more than this share of its worth."""
+        return self.due if self.rpc.method.late_share > late_share else min(self.due, self.target)
 
     @property
-    def span(self) -> float:
-        """The whole of its time."""
-        return max(1.0, self.limit - self.arrived)
+    def limit(self) -> float:
+        return self.until(LATE_WORTH)  # for the check: better elsewhere in time than here for little
 
 
 class Server:
@@ -150,10 +128,8 @@
         self.born = self.last = now
         self.learned: dict[Method, Learned] = {m: Learned() for m in settings.methods}
         self.places: dict[Want, dict[Job, None]] = {w: {} for w in Want}
-        self.kb = 0.0
         self.kept: dict[Job, float] = {}  # live table entries and their ends
-        self.cap = float(settings.cores)
-        self.use, self.cut_at = 0.0, now
+        self.kb, self.cap, self.use, self.cut_at = 0.0, float(settings.cores), 0.0, now
         self.stretch = Ring(2, 1000.0)  # own run times over the method's base
         self.tenant_rate: dict[Tenant, Ring] = {t: Ring(5, 1000.0) for t in settings.tenants}
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
@@ -163,16 +139,14 @@
         self.floor = self.reading = self.on_cores = 0.0
         self.tries_seen, self.unread = Ring(4, 500.0), Ring(2, 250.0)
         self.shortest = min(m.target for m in settings.methods)
-        self.call_times = Ring(10, 3000.0)
-        self.call_recent = Ring(4, 250.0)
+        self.call_times, self.call_recent = Ring(10, 3000.0), Ring(4, 250.0)
         self.call_load = Ring(11, max(1.0, settings.calls_over / 10))  # how long ended calls were in hand
         self.tokens = self.rate = inf  # calls below a second; unbounded while it keeps up
         self.advert, self.link_idle = -1.0, settings.link_idle
         self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
-        self.run_until = inf  # what arrives later is not run
+        self.run_until, self.alarm = inf, now  # what arrives later is not run; when the next look is due
         self.modes: dict[str, bool] = {}
-        self.alarm = now
         out.health(True, True)
         self.wake(TICK * Random(seed).random())  # so that a fleet does not look at its gauges in step
 
@@ -180,14 +154,13 @@
 
     def life(self, job: Job) -> Life:
         m = job.rpc.method
-        news: News | Outcome
         if job.rpc.repeat and (m.effect is Effect.TOKENED or self.set.share_for > 0):
             news = yield Want.JOIN  # its answer comes from the try it repeats: no effect twice
             if news is News.DUE:
                 yield Want.ABORT
             return
         news = yield Want.HOLD
-        if news is News.LATE or news is News.DUE:
+        if news in (News.LATE, News.DUE):
             yield Want.PUSH_BACK
         if news is not News.START:
             return
@@ -199,10 +172,9 @@
         elif news is News.GONE:
             yield Want.LEAVE
 
-    def below(self, job: Job) -> Steps:
+    def below(self, job: Job) -> Generator[Want, News | Outcome, News | Outcome]:
         """A call to the layer below: made, made again where that is safe, or left out."""
-        m = job.rpc.method
-        if self.now > job.limit:
+        if self.now > job.until(0.0):
             return News.DUE  # worth nothing by now: the rest of the work is saved
         while True:
             news = yield Want.LINE_UP
@@ -211,13 +183,13 @@
                 if news is Outcome.OK:
                     return (yield Want.RUN)
                 if isinstance(news, Outcome):
-                    again = m.effect is Effect.IDEMPOTENT or news in NEVER_RAN
+                    again = job.rpc.method.effect is Effect.IDEMPOTENT or news in NEVER_RAN
                     job.tries += 1
                     if again and job.tries < 3 and self.allow(job) > self.call_times.mean(self.now, 0.0):
                         continue
                     news = News.NO_CALL
             if news is News.NO_CALL:
-                return (yield Want.SKIP) if m.skip_share > 0 else News.DUE
+                return (yield Want.SKIP) if job.rpc.method.skip_share > 0 else News.DUE
             return news
 
     def resume(self, job: Job, news: News | Outcome) -> None:
@@ -377,7 +349,7 @@
             self.out.stop(job.rpc)  # a stop is lost on cores that stand still: say it again
         elif job.at is not Want.HOLD:
             # No RPC lost: running work is answered for in time, and stopped once it is worthless.
-            by = job.due if self.set.stopping is Stopping.NONE else min(job.due, job.limit)
+            by = job.due if self.set.stopping is Stopping.NONE else job.until(0.0)
             if self.now + TICK >= by:
                 self.resume(job, News.DUE)
             elif job.at is not Want.LINE_UP:
@@ -415,19 +387,17 @@
     def in_time(self, job: Job) -> bool:
         if job.arrived > self.run_until:
             return False  # safe drain
-        margin = min(job.learned.p99 * job.learned.size(job.rpc), job.span * MARGIN_SHARE)
+        margin = min(job.learned.p99, job.span * MARGIN_SHARE)
         return self.now + margin <= job.limit
 
     def order(self, job: Job) -> tuple[float, float]:
         """Criticality over expected work; newest first while a line stands."""
-        worth = self.value(job)
-        if self.now + job.learned.mean > job.target:
-            worth *= job.rpc.method.late_share
-        return worth, job.arrived if self.pushed.values(self.now) else -job.arrived
+        return self.value(job), job.arrived if self.pushed.values(self.now) else -job.arrived
 
     def value(self, job: Job) -> float:
-        worth = job.rpc.method.criticality * self.share_worth(job.rpc)
-        return worth if self.set.by_work else worth / max(1.0, job.learned.mean) / job.learned.size(job.rpc)
+        tenant = job.rpc.tenant
+        worth = job.rpc.method.criticality * (self.worth[tenant] if tenant else 1.0)
+        return worth if self.set.by_work else worth / max(1.0, job.learned.mean)
 
     def crowd(self) -> float:
         """RPCs on the cores that this server survives; fewer while it is cold."""
@@ -440,8 +410,7 @@
         running = len(p[Want.RUN]) + len(p[Want.ABORT]) + len(p[Want.LEAVE])
         # Those at a call come back to the cores unasked: all together stay under the survivable crowd.
         at_call = len(p[Want.CALL]) + len(p[Want.LINE_UP])
-        # Reads share the cores and are not ours to stop: where more than a part of the cores read, the cap
-        # gives way, below its floor too, or all crowd each other.
+        # Reads are not ours to stop: the cap gives way to them, below its floor too, or all crowd each other.
         cap = max(1.0, self.cap - max(0.0, self.reading - READ_CORES * self.set.cores))
         return min(cap - running, self.crowd() - running - at_call)
 
@@ -456,8 +425,8 @@
         elif self.use >= BUSY and self.now - self.cut_at >= 500.0:
             # Measured over base latency. Where too few runs end to know it, runs that share the cores last as
             # much longer as more are on the cores than there are: a small server's cap must not stay up.
-            recent = self.stretch.values(self.now)
-            stretch = sum(recent) / len(recent) if len(recent) > 4 else self.on_cores / cores
+            few = len(self.stretch.values(self.now)) < 5
+            stretch = self.on_cores / cores if few else self.stretch.mean(self.now, 1.0)
             self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, stretch)))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
@@ -472,8 +441,7 @@
     # Calls below
 
     def allow(self, job: Job) -> float:
-        # What hangs below or is lost on the way must not keep what waits for it to the end: there is time to
-        # call again, or to do without.
+        # What hangs below or is lost on the way must leave time to call again, or to do without.
         return min(0.8 * (job.limit - self.now), max(300.0, 6.0 * self.call_times.mean(self.now, 100.0)))
 
     def follow_calls(self) -> None:
@@ -491,8 +459,8 @@
         self.mode("paced calls", self.rate < inf, f"mean {mean:.0f} base {base:.0f} ms")
 
     def count_call(self, job: Job, lost: bool) -> None:
-        lingers = self.set.linger if lost else 0.0  # the layer below may still hold it
-        self.call_load.add(self.now, self.now - job.called_at + lingers)
+        """A call has ended; one that is lost may stay in the store's hands for a while."""
+        self.call_load.add(self.now, self.now - job.called_at + self.set.linger * lost)
 
     def may_call(self, job: Job) -> bool:
         if self.tokens < 1.0:
@@ -502,18 +470,21 @@
             # hand and all that the calls out may still take, abandoned ones included, stay within our share.
             out = sum(j.call_end - j.called_at for j in self.places[Want.CALL])
             load = sum(self.call_load.values(self.now))
-            return load + out + self.allow(job) + self.set.linger <= self.set.calls_out * self.set.calls_over * SAFE
+            share = self.set.calls_out * self.set.calls_over * SAFE
+            return load + out + self.allow(job) + self.set.linger <= share
         return True
 
     def place_calls(self) -> None:
         mean = self.call_times.mean(self.now, 0.0)
-        line = sorted(self.places[Want.LINE_UP], key=lambda j: (j.rpc.method.skip_share - 1.0) * j.rpc.method.criticality)
+        methods = {job: job.rpc.method for job in self.places[Want.LINE_UP]}
+        line = sorted(methods, key=lambda j: (methods[j].skip_share - 1.0) * methods[j].criticality)
         for place, job in enumerate(line, 1):
             wait = max(self.now - job.called_at, place * 1000.0 / self.rate)
+            dear = methods[job].skip_share > 0 and wait > CALL_WAIT * job.span
             if self.may_call(job):
                 self.tokens -= 1.0
                 self.resume(job, News.GO)
-            elif self.allow(job) < 2.0 * mean or (job.rpc.method.skip_share > 0 and wait > CALL_WAIT * job.span):
+            elif dear or self.allow(job) < 2.0 * mean:
                 self.resume(job, News.NO_CALL)  # its turn would come too late
 
     # What callers are told
@@ -525,9 +496,6 @@
                 over = max(1.0, rate / (tenant.allowance * 1.3))
                 self.worth[tenant] = 1.0 / over + self.set.over_share_worth * (1.0 - 1.0 / over)
 
-    def share_worth(self, rpc: Rpc) -> float:
-        return self.worth[rpc.tenant] if rpc.tenant else 1.0
-
     def push_back(self, job: Job) -> None:
         if not self.in_time(job):
             self.pushed.add(self.now, 1.0)  # not those given up early: they would keep the line standing
@@ -536,16 +504,14 @@
         walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
         final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
-        hold_off = self.set.hold_off_max * away if self.set.hold_off else 0.0
-        self.out.push_back(job.rpc, hold_off, final and self.leave_at is None)
+        self.out.push_back(job.rpc, self.set.hold_off_max * away, final and self.leave_at is None)
 
     def tell(self) -> None:
-        p, room = self.places, HOLD_ROOM * self.set.cores
+        p, room = self.places, self.set.cores  # to hold one RPC a core
         held, here = len(p[Want.HOLD]), self.leave_at is None
         dt = (self.now - self.last) / 1000.0
         self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
-        # Reads that eat the cores: a slowed server reads what has long been given up. What waits unread shows
-        # it before any run ends, whatever the cause; callers must hear of it while they still wait.
+        # A slowed server reads what has long been given up: what waits unread shows it before any run ends.
         unread = self.unread.mean(self.now, 0.0)
         self.keeps_up = max(HEARD, 1.0 - unread / (UNREAD * self.shortest))
         self.mode("drowning", self.keeps_up < 0.3, f"unread for {unread:.0f} ms")
@@ -555,28 +521,23 @@
             amount = 1.0 - self.weight * here
         elif self.set.advert is Advert.CREDIT:
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
-            # Callers refuse without choosing: what a flooding tenant holds must not keep others' work away.
-            flood = sum(self.share_worth(j.rpc) < FLOOD for j in p[Want.HOLD])
-            amount = (busy + room + min(flood, 4 * self.set.cores)) * self.biggest() * self.keeps_up * here
+            # By the share of the busiest caller: split evenly it would starve while others leave theirs.
+            seen = self.callers.values(self.now)
+            biggest = max((seen.count(c) for c in set(seen)), default=1) / max(1, len(seen))
+            amount = (busy + room) * biggest * self.keeps_up * here
         amount = round(amount, 3)
         if amount != self.advert and self.set.advert is not Advert.NONE:
             self.advert = amount
             self.out.advertise(amount)
 
     def spare_links(self, links: float) -> None:
-        """Many callers that each come seldom fill the table of connections: it taxes the cores, and full it
-        keeps callers out. Those that do come back soon would pay for a new one."""
+        """Many callers that each come seldom fill the table: it taxes the cores, and full it keeps out."""
         fewer = LINKS * self.set.cores / max(1.0, links) if self.back.mean(self.now, 1.0) < 0.5 else 2.0
         idle = min(max(10.0, self.link_idle * max(0.5, min(2.0, fewer))), self.set.link_idle)
         if idle != self.link_idle:
             self.link_idle = idle
             self.out.reap(idle)
 
-    def biggest(self) -> float:
-        """The share of the busiest caller: credit split evenly would starve it while others leave theirs."""
-        seen = self.callers.values(self.now)
-        return max((seen.count(c) for c in set(seen)), default=1) / max(1, len(seen))
-
     def mode(self, name: str, on: bool, why: str) -> None:
         if self.modes.get(name, False) != on:
             self.modes[name] = on
--- a/landingshift/drill/settings.py
+++ b/landingshift/drill/settings.py
@@ -54,9 +54,8 @@
         advert=ADVERTS[extra.get("say") or "silent"],
         deadline_told=bool(extra.get("passes-deadline")),
         marks_retry=bool((data.get("clients") or {}).get("marks-retry")),
-        hold_off=bool(permits.get("retry-after")),
         link_idle=extra.get("caller-idle") or 0.0,
-        hold_off_max=permits.get("max-retry-after") or 0.0,
+        hold_off_max=(permits.get("max-retry-after") or 0.0) if permits.get("retry-after") else 0.0,
         drain_grace=rules["drain-grace"],
         crowd=rules["tip-multiple"],
     )
--- a/landingshift/interface.py
+++ b/landingshift/interface.py
@@ -88,8 +88,7 @@
     advert: Advert
     deadline_told: bool
     marks_retry: bool
-    hold_off: bool  # pushbacks may carry a hold-off
-    hold_off_max: float
+    hold_off_max: float  # 0 where pushbacks may carry no hold-off
     link_idle: float  # callers close idle connections after this
     drain_grace: float
     crowd: float  # RPCs on the cores for each core that a warm server survives
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -31,7 +31,6 @@
     advert=Advert.NONE,
     deadline_told=True,
     marks_retry=True,
-    hold_off=True,
     hold_off_max=1000.0,
     link_idle=30000.0,
     drain_grace=1000.0,
@@ -55,7 +54,9 @@
         rpc = Rpc(**{**BLANK, **facts})
         return self.server.read(rpc)
 
-    def tick(self, ms: float = 50.0, use: float = 1.0, on_cores: float | None = None, links: float = 0.0) -> None:
+    def tick(
+        self, ms: float = 50.0, use: float = 1.0, on_cores: float | None = None, links: float = 0.0
+    ) -> None:
         self.server.now += ms
         cores = len(self.names("run"))
         self.server.woken(Gauges(use, cores if on_cores is None else on_cores, links))
