--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,7 +1,7 @@
 import unittest
 from dataclasses import replace
 
-from landingshift.brain import Want
+from landingshift.brain import Ring, Want
 from landingshift.interface import Advert, Below, Effect, Outcome, Stopping, Tenant
 from tests.helpers import METHOD, Bench
 
@@ -17,6 +17,8 @@
             (0.0, None, 0.0, True),
             (0.0, None, 1100.0, False),  # the latency target is the deadline where late worth is nil
             (1.0, None, 1100.0, True),
+            (0.2, None, 1100.0, False),  # little is left of it: it may still be in time elsewhere
+            (0.6, None, 1100.0, True),
             (0.0, 400.0, 500.0, True),
             (0.0, 400.0, 700.0, False),  # now + p99 lies past the deadline
             (0.0, 900.0, 250.0, True),  # the margin is capped at a share of the time
@@ -70,6 +72,19 @@
                 runs = sum(b.fates(j) == ["run"] for j in jobs)
                 self.assertTrue(low <= runs <= high, runs)
 
+    def test_cap_comes_down_where_too_few_runs_end_to_know_their_stretch(self) -> None:
+        for on_cores, runs in [(2, 6), (8, 2)]:
+            with self.subTest(on_cores=on_cores):
+                b = Bench()
+                b.server.cap = 6.0
+                for _ in range(60):
+                    b.tick(50.0, 1.0, on_cores)
+                b.server.reading = 0.0
+                for _ in range(9):
+                    b.read()
+                b.server.settle()
+                self.assertEqual(len(b.names("run")), runs)
+
     def test_crowd_ceiling_counts_cold_and_calls(self) -> None:
         for cold, most in [(False, 13), (True, 4)]:
             with self.subTest(cold=cold):
@@ -123,14 +138,15 @@
 
 class Rules(unittest.TestCase):
     def test_running_work_is_answered_in_time(self) -> None:
-        for stopping, at, fates in [
-            (Stopping.NONE, 900.0, ["run"]),
-            (Stopping.NONE, 2960.0, ["run", "abort"]),
-            (Stopping.DROP, 960.0, ["run", "abort", "stop"]),
-            (Stopping.PAUSE, 960.0, ["run", "abort", "stop"]),
+        for stopping, late, at, fates in [
+            (Stopping.NONE, 0.0, 900.0, ["run"]),
+            (Stopping.NONE, 0.0, 2960.0, ["run", "abort"]),
+            (Stopping.DROP, 0.0, 960.0, ["run", "abort", "stop"]),
+            (Stopping.DROP, 0.2, 960.0, ["run"]),  # begun in time, its late answer keeps something
+            (Stopping.PAUSE, 0.0, 960.0, ["run", "abort", "stop"]),
         ]:
-            with self.subTest(stopping=stopping, at=at):
-                b = Bench(stopping=stopping)
+            with self.subTest(stopping=stopping, late=late, at=at):
+                b = Bench(replace(METHOD, late_share=late), stopping=stopping)
                 job = b.read()
                 b.server.settle()
                 b.tick(at)
@@ -194,6 +210,25 @@
                 b.tick(900.0)
                 self.assertEqual(len(b.names("call", "skip", "abort")), 40)
 
+    def test_a_lost_call_counts_while_the_store_may_hold_it(self) -> None:
+        for outcome, wait, calls in [
+            (Outcome.ABORTED, 100.0, 2),
+            (Outcome.NO_ANSWER, 100.0, 1),
+            (Outcome.NO_ANSWER, 6000.0, 2),
+        ]:
+            with self.subTest(outcome=outcome, wait=wait):
+                method = replace(CALLS, effect=Effect.NON_IDEMPOTENT, target=20000.0, deadline=30000.0)
+                b = Bench(method, below=Below.SHARED, calls_out=0.4, calls_over=5000.0, linger=500.0)
+                for _ in range(2):
+                    job = b.read(remaining=20000.0)
+                    b.server.settle()
+                    b.server.wants_call(job)
+                    b.server.settle()
+                    b.at(b.server.now + 300.0)
+                    b.server.call_done(job, outcome, 300.0)
+                    b.at(b.server.now + wait)
+                self.assertEqual(len(b.names("call")), calls)
+
     def test_a_tokened_rpc_that_never_ran_leaves_the_table(self) -> None:
         b = Bench(TOKENED, cores=1)
         ran, held, gone = b.read(), b.read(), b.read()
@@ -213,6 +248,53 @@
         self.assertEqual(len(b.names("closed")), 2)
 
 
+class Fleet(unittest.TestCase):
+    def test_a_ring_forgets(self) -> None:
+        for adds, now, values in [
+            ([(0.0, 1.0), (9.0, 2.0), (10.0, 3.0)], 10.0, [1.0, 2.0, 3.0]),
+            ([(0.0, 1.0), (10.0, 3.0)], 30.0, [3.0]),
+            ([(0.0, 1.0), (95.0, 2.0)], 95.0, [2.0]),
+            ([(0.0, 1.0)], 1000.0, []),
+        ]:
+            with self.subTest(now=now):
+                ring = Ring(3, 10.0)
+                for at, value in adds:
+                    ring.add(at, value)
+                    ring.values(at)
+                self.assertEqual(sorted(ring.values(now)), values)
+
+    def test_an_idle_server_rests_but_ends_its_rpcs_in_time(self) -> None:
+        # others held, remaining, the look that follows comes within
+        for others, remaining, low, high in [
+            (0, 3000.0, 100.0, 200.0),
+            (0, 120.0, 0.0, 50.0),
+            (9, 3000.0, 0.0, 50.0),
+        ]:
+            with self.subTest(others=others, remaining=remaining):
+                b = Bench()
+                b.tick()
+                for _ in range(others):
+                    b.read()
+                job = b.read(remaining=remaining)
+                b.server.settle()
+                delays = b.names("wake")
+                self.assertTrue(low <= min(d[1] for d in delays[1:]) <= high, delays)
+                if remaining < 200.0:
+                    b.tick(5.0)  # another look has replaced this one
+                    self.assertEqual(b.names("wake"), delays)
+                    b.tick(65.0)
+                    self.assertEqual(b.fates(job), ["run", "abort"])
+
+    def test_connections_are_closed_early_only_where_callers_seldom_come_back(self) -> None:
+        for callers, links, closed in [(4, 200.0, False), (500, 200.0, True), (500, 3.0, False)]:
+            with self.subTest(callers=callers, links=links):
+                b = Bench()
+                for i in range(100):
+                    b.read(caller=i % callers)
+                    b.tick(100.0, 0.2, 0, links)
+                self.assertEqual(bool(b.names("reap")), closed)
+
+
 class Told(unittest.TestCase):
     def test_adverts(self) -> None:
         for advert, calm, leaving in [
