--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -17,7 +17,7 @@
 
 TICK = 50.0  # between two looks at the gauges and the hold
 REST = 200.0  # the same while nothing is held: idle servers of a large fleet must cost next to nothing
-MARGIN_SHARE = 0.55  # the learned p99 margin is capped at this share of an RPC's whole time
+MARGIN_SHARE = 0.7  # the learned p99 margin is capped at this share of an RPC's whole time
 SAFE = 0.85  # of each limit that kills a server or the store
 UNREAD = 0.5  # of the shortest target: what waits unread for so long says the server drowns in reads
 BUSY = 0.95  # core use from which the cores count as busy
