--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -16,6 +16,7 @@
 from landingshift.interface import Stopping, Tenant
 
 TICK = 50.0  # between two looks at the gauges and the hold
+LAST = 10.0  # before its end that running work is answered for: it may still end by itself until then
 REST = 200.0  # the same while nothing is held: idle servers of a large fleet must cost next to nothing
 MARGIN_SHARE = 0.7  # the learned p99 margin is capped at this share of an RPC's whole time
 SAFE = 0.85  # of each limit that kills a server or the store
@@ -140,7 +141,7 @@
         self.tries_seen, self.unread = Ring(4, 500.0), Ring(2, 250.0)
         self.shortest = min(m.target for m in settings.methods)
         self.call_times, self.call_recent = Ring(10, 3000.0), Ring(4, 250.0)
-        self.call_load = Ring(11, max(1.0, settings.calls_over / 10))  # how long ended calls were in hand
+        self.call_load = Ring(11, max(1.0, settings.calls_over / 10))  # time in hand, lost ones with linger
         self.tokens = self.rate = inf  # calls below a second; unbounded while it keeps up
         self.advert, self.link_idle = -1.0, settings.link_idle
         self.weight = self.keeps_up = 1.0
@@ -260,7 +261,7 @@
         if job.at is Want.HOLD and not self.may_hold(job):
             self.resume(job, News.LATE)
         if job.limit < self.alarm + TICK:
-            self.wake(TICK)  # No RPC lost: it must not end while this server rests
+            self.wake(LAST)  # No RPC lost: it must not end while this server rests
         return job
 
     def may_hold(self, job: Job) -> bool:
@@ -339,7 +340,7 @@
             next_look = min(next_look, self.sweep(job))
         self.tell()
         self.last = self.now
-        self.wake(max(TICK, next_look - self.now))
+        self.wake(max(LAST, next_look - self.now))
 
     def sweep(self, job: Job) -> float:
         """Ends what must end by now; returns when to look again."""
@@ -350,10 +351,10 @@
         elif job.at is not Want.HOLD:
             # No RPC lost: running work is answered for in time, and stopped once it is worthless.
             by = job.due if self.set.stopping is Stopping.NONE else job.until(0.0)
-            if self.now + TICK >= by:
+            if self.now + LAST >= by:
                 self.resume(job, News.DUE)
             elif job.at is not Want.LINE_UP:
-                return by - TICK
+                return by - LAST
         return self.now + TICK
 
     # The check, the cap and the start order
@@ -382,7 +383,7 @@
         if self.places[Want.LINE_UP]:
             self.place_calls()
         if (held or self.places[Want.LINE_UP]) and self.alarm > self.now + TICK:
-            self.wake(TICK)
+            self.wake(TICK / 2.0)
 
     def in_time(self, job: Job) -> bool:
         if job.arrived > self.run_until:
@@ -459,7 +460,6 @@
         self.mode("paced calls", self.rate < inf, f"mean {mean:.0f} base {base:.0f} ms")
 
     def count_call(self, job: Job, lost: bool) -> None:
-        """A call has ended; one that is lost may stay in the store's hands for a while."""
         self.call_load.add(self.now, self.now - job.called_at + self.set.linger * lost)
 
     def may_call(self, job: Job) -> bool:
