--- a/landingshift/drill/door.py
+++ b/landingshift/drill/door.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from landingshift.brain import Job, Server
-from landingshift.drill.settings import decode
+from landingshift.settings import decode
 from landingshift.interface import Gauges, Outcome, Rpc, Settings
 
 OUTCOMES = {
--- /dev/null
+++ b/landingshift/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real server, in layers that import only downward: program, routing, protocol, transport."""
--- /dev/null
+++ b/landingshift/net/program/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, log, signals and wiring."""
--- /dev/null
+++ b/landingshift/net/program/config.py
@@ -0,0 +1,118 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from landingshift.net.routing.router import Site
+from landingshift.net.transport.stream import Address
+from landingshift.settings import decode
+
+MISSING = object()
+
+
+class BadConfig(Exception):
+    """The text names the key."""
+
+
+class Reader:
+    """Takes values out of nested JSON and says by name what is wrong with them."""
+
+    def __init__(self, data: Any, path: str = "") -> None:
+        if not isinstance(data, dict):
+            raise BadConfig(f"{path or 'configuration'}: an object is expected")
+        self.data, self.path = data, path
+
+    def name(self, key: str) -> str:
+        return f"{self.path}.{key}" if self.path else key
+
+    def take(self, key: str, kinds: Any, expected: str, default: Any) -> Any:
+        value = self.data.get(key, default)
+        if value is MISSING:
+            raise BadConfig(f"{self.name(key)}: missing")
+        if not isinstance(value, kinds) or isinstance(value, bool):
+            raise BadConfig(f"{self.name(key)}: {expected} is expected, not {value!r}")
+        return value
+
+    def inner(self, key: str, default: Any = MISSING) -> Reader:
+        return Reader(self.take(key, dict, "an object", default), self.name(key))
+
+    def text(self, key: str, default: Any = MISSING) -> str:
+        value: str = self.take(key, str, "a text", default)
+        if not value or not value.isprintable() or " " in value:
+            raise BadConfig(f"{self.name(key)}: a word is expected, not {value!r}")
+        return value
+
+    def number(self, key: str, low: float, high: float, default: Any = MISSING) -> float:
+        value = self.take(key, int | float, "a number", default)
+        if not low <= value <= high:
+            raise BadConfig(f"{self.name(key)}: {value} is not from {low:g} to {high:g}")
+        return float(value)
+
+    def address(self, key: str, default: Any = MISSING) -> Address:
+        value = self.text(key, default)
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+            raise BadConfig(f"{self.name(key)}: host:port is expected, not {value!r}")
+        return host, int(port)
+
+    def names(self, key: str) -> list[str]:
+        entries = self.take(key, list, "a list", [])
+        return [Reader(e, f"{self.name(key)}[{i}]").text("name") for i, e in enumerate(entries)]
+
+
+def seed(top: Reader) -> int:
+    value = top.text("seed")
+    try:
+        return int(value, 16)
+    except ValueError as err:
+        raise BadConfig(f"seed: hex digits are expected, not {value!r}") from err
+
+
+def site(data: Any, env: Mapping[str, str]) -> Site:
+    top = Reader(data)
+    limits = top.inner("limits", {})
+    settings = top.inner("settings")
+    try:
+        decoded = decode(settings.data)
+    except KeyError as err:
+        raise BadConfig(f"settings: {err.args[0]} is missing or unknown") from err
+    except (TypeError, ValueError, AttributeError, IndexError) as err:
+        raise BadConfig(f"settings: {err}") from err
+    if not decoded.methods:
+        raise BadConfig("settings.classes: at least one is expected")
+    extra = settings.inner("extra")
+    gauges = extra.take("gauges", list, "a list", [])
+    return Site(
+        name=top.text("name", env.get("GW_NAME", MISSING)),
+        listen=top.address("listen", env.get("GW_LISTEN", MISSING)),
+        engine=top.address("engine"),
+        database=top.address("db"),
+        roster=top.address("roster"),
+        seed=seed(top),
+        stop_ms=top.number("stop_ms", 1.0, 1e7, 3000),
+        memory_mb=limits.number("memory_mb", 16.0, 1e6, 192),
+        sockets=int(limits.number("sockets", 64.0, 1e6, 1024)),
+        settings=decoded,
+        methods=dict(zip(settings.names("classes"), decoded.methods, strict=True)),
+        tenants=dict(zip(settings.names("orgs"), decoded.tenants, strict=True)),
+        gauges=[str(g) for g in gauges],
+        deep_checks=bool(extra.data.get("deep-checks")),
+    )
+
+
+def load(env: Mapping[str, str]) -> Site:
+    path = env.get("GW_CONFIG")
+    if not path:
+        raise BadConfig("GW_CONFIG: the environment does not name the configuration file")
+    try:
+        with open(path, "rb") as file:
+            data = orjson.loads(file.read())
+    except OSError as err:
+        raise BadConfig(f"GW_CONFIG: {path}: {err.strerror}") from err
+    except orjson.JSONDecodeError as err:
+        raise BadConfig(f"GW_CONFIG: {path}: {err}") from err
+    return site(data, env)
--- /dev/null
+++ b/landingshift/net/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes to messages and back; knows no socket."""
--- /dev/null
+++ b/landingshift/net/protocol/database.py
@@ -0,0 +1,39 @@
+"""The calls to the shared database and its replies."""
+
+from __future__ import annotations
+
+from landingshift.interface import Outcome
+from landingshift.net.protocol.lines import Broken, Lines, line
+
+ENDS = {
+    b"ROWS": Outcome.OK,
+    b"FULL": Outcome.PUSHED_BACK,
+    b"FAIL": Outcome.ABORTED,
+    b"TIMEOUT": Outcome.NO_ANSWER,
+    b"NONE": Outcome.NO_CONNECTION,  # it proves as much: the call never ran
+}
+
+
+def has_body(words: list[bytes]) -> bool:
+    return len(words) == 3 and words[1] == b"ROWS"
+
+
+class Reader:
+    def __init__(self) -> None:
+        self.lines = Lines(has_body)
+
+    def feed(self, data: bytes) -> list[tuple[bytes, Outcome, bytes]]:
+        replies = []
+        for words, body in self.lines.feed(data):
+            if len(words) < 2 or words[1] not in ENDS or (words[1] == b"ROWS" and len(words) != 3):
+                raise Broken("bad_line")
+            replies.append((words[0], ENDS[words[1]], body))
+        return replies
+
+
+def call(rid: bytes, allow: float, body: bytes) -> bytes:
+    return line(b"Q", rid, b"%d" % max(1, round(allow)), body=body)
+
+
+def give_up(rid: bytes) -> bytes:
+    return line(b"X", rid)
--- /dev/null
+++ b/landingshift/net/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Carries RPCs between gateways, engine and database as the module decides."""
--- /dev/null
+++ b/landingshift/net/routing/engine.py
@@ -0,0 +1,181 @@
+"""The link to the engine: kept open, attached again after a loss, nothing run twice for it."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from landingshift.interface import Effect
+from landingshift.net.protocol import engine as wire
+from landingshift.net.protocol.lines import Broken
+from landingshift.net.routing.records import Routed
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.stream import Address, Stream, connect
+
+BOUND = 8 << 20  # more than all RPCs that fit into a server's memory can ask for
+RETRY = 50.0  # ms between two tries to reach it
+
+
+class News(Protocol):
+    def engine_up(self, hello: wire.Hello) -> None: ...
+    def done(self, done: wire.Done) -> None: ...
+    def need(self, need: wire.Need) -> None: ...
+    def refused(self, no: wire.No) -> None: ...
+    def stats(self, values: list[float]) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Command:
+    rpc: Routed
+    data: bytes
+    runs: bool  # starts work, which must not happen twice
+    end: int = -1  # where it ends in the link's stream; -1 before it is written
+    doubt: bool = False  # given to a link that broke: it may have arrived
+    held_back: bool = False
+
+
+class Engine:
+    def __init__(self, loop: Loop, address: Address, news: News, log: Callable[..., None]) -> None:
+        self.loop, self.address, self.news, self.log = loop, address, news, log
+        self.last = 0  # number of the last notice read
+        self.links = self.tags = 0
+        self.ready = self.met = self.greeted = False
+        self.stream: Stream | None = None
+        self.reader = wire.Reader()
+        self.unsure: deque[Command] = deque()  # in the order they were asked for
+        self.stats: tuple[bytes, int] | None = None  # the tag that is out and what was written before it
+        self.tests: dict[bytes, Callable[[bool], None]] = {}
+        self.attach()
+
+    # The link
+
+    def attach(self) -> None:
+        self.reader = wire.Reader()
+        stream = connect(self.loop, self.address, self, BOUND)
+        if isinstance(stream, str):
+            self.loop.after(RETRY, self.attach)
+            return
+        self.stream = stream
+        self.links += 1
+        stream.write(wire.attach(self.last))
+
+    def data(self, data: bytes) -> None:
+        try:
+            for message in self.reader.feed(data):
+                self.take(message)
+        except Broken as err:
+            if self.stream:
+                self.stream.close(str(err))
+
+    def eof(self) -> None:
+        if self.stream:
+            self.stream.close("closed")
+
+    def ended(self, reason: str) -> None:
+        sent = self.stream.sent if self.stream else 0
+        if reason not in ("refused", "unreachable"):
+            self.log("engine_link_lost", reason=reason, notice=self.last, unsure=len(self.unsure))
+        self.stream, self.ready, self.greeted, self.stats = None, False, False, None
+        for command in self.unsure:
+            command.doubt = command.doubt or 0 <= command.end <= sent
+            command.end = -1
+        tests, self.tests = self.tests, {}
+        for told in tests.values():
+            told(False)
+        self.loop.after(RETRY, self.attach)
+
+    # What it tells
+
+    def take(self, message: wire.Message) -> None:
+        match message:
+            case wire.Done(number=number) | wire.Need(number=number) | wire.Note(number=number):
+                if number <= self.last:
+                    return  # told again by a new link: it must not count twice
+                if number > self.last + 1:
+                    self.log("notices_missing", after=self.last, before=number)
+                self.last = number
+                if isinstance(message, wire.Done):
+                    self.news.done(message)
+                elif isinstance(message, wire.Need):
+                    self.news.need(message)
+            case wire.Hello():
+                self.log("engine_link", link=self.links, cold=message.cold, age=message.age, notice=self.last)
+                self.greeted = True
+                if not self.met:
+                    self.met = True
+                    self.news.engine_up(message)
+                # What ended while there was no link comes before the answer to this: only then is it known
+                # which commands are still to be said.
+                self.ask()
+            case wire.Stats():
+                if self.stats is None or self.stats[0] != message.tag:
+                    return
+                before, self.stats = self.stats[1], None
+                while self.unsure and 0 <= self.unsure[0].end <= before:
+                    self.settle(self.unsure.popleft())
+                if not self.ready:
+                    self.resend()
+                self.news.stats(message.values)
+            case wire.Tested():
+                told = self.tests.pop(message.tag, None)
+                if told:
+                    told(message.good)
+            case wire.No():
+                self.news.refused(message)
+
+    # What it is told
+
+    def ask(self) -> None:
+        """Asks for the gauges; its answer also shows that all said before has arrived."""
+        if self.stream and self.greeted and self.stats is None:
+            self.tags += 1
+            tag = b"s%d" % self.tags
+            self.stats = tag, self.stream.queued
+            self.stream.write(wire.stat(tag))
+
+    def test(self, told: Callable[[bool], None]) -> None:
+        if not self.ready or not self.stream:
+            told(False)
+            return
+        self.tags += 1
+        tag = b"t%d" % self.tags
+        self.tests[tag] = told
+        self.stream.write(wire.test(tag))
+
+    def say(self, rpc: Routed, data: bytes, runs: bool = False) -> None:
+        rpc.command = Command(rpc, data, runs)
+        self.unsure.append(rpc.command)
+        if self.ready:
+            self.write(rpc.command)
+
+    def halt(self, rpc: Routed) -> None:
+        if self.ready and self.stream:  # the module says it again while it has no effect
+            self.stream.write(wire.halt(rpc.rid))
+
+    def write(self, command: Command) -> None:
+        if self.stream:
+            self.stream.write(command.data)
+            command.end = self.stream.queued
+
+    def settle(self, command: Command) -> None:
+        if command.rpc.command is command:
+            command.rpc.command = None
+
+    def resend(self) -> None:
+        self.ready = True
+        live = [c for c in self.unsure if c.rpc.command is c and not c.rpc.closed]
+        for command in live:
+            # One that runs and was given to a lost link may have run to its end since: no effect twice.
+            again = command.rpc.method.effect is Effect.IDEMPOTENT or command.rpc.answered
+            command.held_back = command.runs and command.doubt and not again
+        self.unsure = deque(c for c in live if not c.held_back)
+        for command in self.unsure:
+            self.write(command)
+        self.log("engine_ready", link=self.links, said_again=len(self.unsure), of=len(live))
+
+    def answered(self, rpc: Routed) -> None:
+        """An RPC that is over can't be run any more: what was held back is said, to hear how it ended."""
+        if rpc.command and rpc.command.held_back:
+            self.say(rpc, rpc.command.data, True)
--- /dev/null
+++ b/landingshift/net/routing/gateways.py
@@ -0,0 +1,147 @@
+"""The gateways' connections: accepted, read, answered and closed."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from landingshift.net.protocol import gateway as wire
+from landingshift.net.routing.records import Routed
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.slots import Slots
+from landingshift.net.transport.stream import Address, Listener, Stream
+
+OPEN = 32  # RPCs that a connection may have open
+BOUND = OPEN * 5000  # what a gateway that keeps to that can leave unread
+AWAY = 1500.0  # ms that a gateway has to close a connection after goaway
+SILENT = 5000.0  # ms past the gateways' own limit on idle connections
+
+
+class News(Protocol):
+    def read(self, connection: Connection, call: wire.Call) -> None: ...
+    def hangup(self, rpc: Routed) -> None: ...
+    def probe(self, connection: Connection, call: wire.Call) -> None: ...
+
+
+class Connection:
+    def __init__(self, gateways: Gateways, sock: socket.socket) -> None:
+        self.gateways, self.reader = gateways, wire.Reader()
+        self.rpcs: dict[int, Routed] = {}  # open, by message number
+        self.read = self.probes = self.bad = 0
+        self.fault = ""  # the field that the last bad RPC had wrong
+        self.away = 0.0  # when it was sent goaway
+        self.born = gateways.loop.now
+        self.stream = Stream(gateways.loop, sock, self, BOUND, False)
+        self.slot = gateways.table.put(self)
+        self.timer = gateways.loop.after(gateways.idle, self.rest)
+
+    def data(self, data: bytes) -> None:
+        for message in self.reader.feed(data):
+            if isinstance(message, wire.GiveUp):
+                rpc = self.rpcs.pop(message.number, None)
+                if rpc is not None:
+                    self.gateways.news.hangup(rpc)
+            elif isinstance(message, wire.Failed):
+                self.stream.finish(message.reason)
+                self.hangup()
+            elif message.method == "probe":
+                self.probes += 1
+                self.gateways.news.probe(self, message)
+            elif message.number in self.rpcs:
+                self.stream.finish("number_twice")  # nobody could tell whose the answer is
+                self.hangup()
+            else:
+                self.read += 1
+                self.gateways.news.read(self, message)
+
+    def hangup(self) -> None:
+        rpcs, self.rpcs = self.rpcs, {}
+        for rpc in rpcs.values():
+            self.gateways.news.hangup(rpc)
+
+    def eof(self) -> None:
+        if not self.rpcs:
+            self.stream.finish("closed_by_gateway")
+        else:
+            # It may still read. Where it does not, this makes it answer with a reset.
+            self.goaway()
+
+    def ended(self, reason: str) -> None:
+        self.gateways.table.drop(self.slot)
+        self.gateways.loop.cancel(self.timer)
+        self.gateways.log(
+            "connection",
+            reason=reason,
+            age=round(self.gateways.loop.now - self.born),
+            rpcs=self.read,
+            probes=self.probes,
+            open=len(self.rpcs),
+            bad=self.bad,
+            fault=self.fault,
+        )
+        self.hangup()
+
+    def answer(self, number: int, data: bytes) -> None:
+        self.rpcs.pop(number, None)
+        self.stream.write(data)
+        if not self.stream.reading and not self.rpcs:
+            self.stream.finish("closed_by_gateway")
+
+    def goaway(self) -> None:
+        if not self.away and self.stream.open:
+            self.away = self.gateways.loop.now
+            self.stream.write(wire.GOAWAY)
+            self.arm(AWAY)
+
+    def arm(self, delay: float) -> None:
+        self.gateways.loop.cancel(self.timer)
+        self.timer = self.gateways.loop.after(delay, self.rest)
+
+    def rest(self) -> None:
+        """A quiet connection is asked to go, and closed if it does not."""
+        if not self.stream.open:
+            return
+        now, wait = self.gateways.loop.now, self.gateways.idle
+        quiet = now - self.stream.last
+        if self.away:
+            if not self.rpcs and now - self.away >= AWAY - 1.0:
+                self.stream.finish("goaway")
+                return
+            wait = AWAY
+        elif not self.rpcs and quiet >= wait - 1.0:
+            self.goaway()
+            return
+        self.arm(max(20.0, wait - (0.0 if self.away else quiet)))
+
+
+class Gateways:
+    def __init__(
+        self, loop: Loop, address: Address, room: int, idle: float, news: News, log: Callable[..., None]
+    ) -> None:
+        self.loop, self.room, self.news, self.log = loop, room, news, log
+        self.longest = self.idle = idle + SILENT
+        self.table: Slots[Connection] = Slots()
+        self.listener = Listener(loop, address, self.accept)
+
+    def accept(self, sock: socket.socket) -> bool:
+        Connection(self, sock)
+        if len(self.table) < self.room:
+            return True
+        # Descriptors are short: who has been quiet the longest makes room.
+        quiet = [c for c in self.table if not c.rpcs and not c.away]
+        for connection in sorted(quiet, key=lambda c: c.stream.last)[: 1 + self.room // 16]:
+            connection.goaway()
+        self.log("connections_full", connections=len(self.table))
+        return False
+
+    def set_idle(self, idle: float) -> None:
+        """The module's limit; at its longest the gateways close by themselves."""
+        self.idle = min(idle if idle < self.longest - SILENT else self.longest, self.longest)
+        for connection in self.table:
+            connection.rest()
+
+    def leave(self) -> None:
+        self.listener.close()
+        for connection in self.table:
+            connection.goaway()
--- /dev/null
+++ b/landingshift/net/routing/health.py
@@ -0,0 +1,44 @@
+"""What health checks and the roster hear."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from landingshift.net.protocol import roster as wire
+from landingshift.net.routing.engine import Engine
+from landingshift.net.transport.datagram import Datagrams
+from landingshift.net.transport.loop import Loop
+
+REPORT = 700.0  # ms between two reports, of which three may be lost before the roster forgets a server
+
+
+class Health:
+    def __init__(self, loop: Loop, name: str, roster: Datagrams, engine: Engine, deep_checks: bool) -> None:
+        self.loop, self.name, self.roster, self.engine = loop, name, roster, engine
+        self.good, self.cheap, self.deep_checks = True, True, deep_checks
+        self.reporting = False
+
+    def set(self, good: bool, cheap: bool) -> None:
+        changed, self.good, self.cheap = good != self.good, good, cheap
+        if changed and self.reporting:
+            self.say()
+
+    def start(self) -> None:
+        if not self.reporting:
+            self.reporting = True
+            self.report()
+
+    def report(self) -> None:
+        self.say()
+        self.loop.after(REPORT, self.report)
+
+    def say(self) -> None:
+        self.roster.send(wire.here(self.name, self.good))
+
+    def check(self, deep: bool, told: Callable[[bool], None]) -> None:
+        if deep and not self.engine.ready:
+            told(False)  # without its engine no work gets done here
+        elif deep and self.deep_checks and self.good and not self.cheap:
+            self.engine.test(told)
+        else:
+            told(self.good)
--- /dev/null
+++ b/landingshift/net/routing/kept.py
@@ -0,0 +1,86 @@
+"""Kept results: what a repeat of an RPC is answered from."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from landingshift.interface import Effect, Outcome
+from landingshift.net.routing.records import Routed
+
+ENTRY = 400  # bytes that an entry takes without its result
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    owner: Routed
+    until: float
+    outcome: Outcome | None = None  # None while its owner is held or runs
+    ended: float = 0.0
+    result: bytes | None = None
+    waiting: dict[Routed, None] = field(default_factory=dict)
+
+
+class Kept:
+    def __init__(self, bound: int, share_for: float) -> None:
+        self.bound, self.share_for, self.bytes = bound, share_for, 0
+        self.entries: dict[tuple[bytes, str], Entry] = {}
+
+    def find(self, rpc: Routed, now: float) -> Entry | None:
+        entry = self.entries.get(rpc.subject) if rpc.subject else None
+        if entry is None:
+            return None
+        stale = entry.until <= now
+        if rpc.method.effect is Effect.IDEMPOTENT and entry.outcome is not None:
+            stale = stale or entry.result is None or now - entry.ended > self.share_for
+        if stale and not entry.waiting:
+            self.remove(entry)
+            return None
+        return entry
+
+    def keep(self, rpc: Routed, until: float) -> None:
+        if rpc.subject is None:
+            return
+        old = self.entries.get(rpc.subject)
+        if old is not None:
+            if old.owner is rpc:
+                old.until = until
+                return
+            self.remove(old)
+        self.entries[rpc.subject] = Entry(rpc, until)
+        self.bytes += ENTRY
+
+    def owned(self, rpc: Routed) -> Entry | None:
+        entry = self.entries.get(rpc.subject) if rpc.subject else None
+        return entry if entry is not None and entry.owner is rpc else None
+
+    def remove(self, entry: Entry) -> None:
+        subject = entry.owner.subject
+        if subject is not None and self.entries.get(subject) is entry:
+            del self.entries[subject]
+            self.bytes -= ENTRY + len(entry.result or b"")
+
+    def end(self, entry: Entry, outcome: Outcome, result: bytes, now: float) -> list[Routed]:
+        """Its owner is over; returns who waited for that."""
+        entry.outcome, entry.ended = outcome, now
+        if outcome is Outcome.OK:
+            entry.result = result
+            self.bytes += len(result)
+        waiting, entry.waiting = list(entry.waiting), {}
+        self.shrink(now)
+        return waiting
+
+    def shrink(self, now: float) -> None:
+        """Bounded memory: oldest results go first; that an effect has happened is not forgotten for it."""
+        if self.bytes <= self.bound:
+            return
+        for entry in [e for e in self.entries.values() if e.until <= now and not e.waiting]:
+            self.remove(entry)
+        for entry in list(self.entries.values()):
+            if self.bytes <= self.bound * 0.9:
+                return
+            if entry.result is not None:
+                if entry.owner.method.effect is Effect.IDEMPOTENT:
+                    self.remove(entry)
+                else:
+                    self.bytes -= len(entry.result)
+                    entry.result = None
--- /dev/null
+++ b/landingshift/net/routing/records.py
@@ -0,0 +1,35 @@
+"""An RPC on its way through this server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from landingshift.brain import Job
+from landingshift.interface import Rpc
+
+if TYPE_CHECKING:
+    from landingshift.net.routing.database import Call
+    from landingshift.net.routing.engine import Command
+    from landingshift.net.routing.kept import Entry
+
+
+@dataclass(slots=True, eq=False)
+class Routed(Rpc):
+    rid: bytes
+    name: bytes  # of its method, for the engine
+    body: bytes
+    connection: int  # slot of the connection it came on
+    number: int  # its message there
+    subject: tuple[bytes, str] | None  # what a repeat of it shares with it
+    slot: int = -1
+    job: Job | None = None
+    answered: bool = False
+    gone: bool = False  # nobody waits any more
+    closed: bool = False  # the module will not speak of it again
+    command: Command | None = None  # for the engine, not known to have arrived
+    need: int = 0  # the notice that asked for the call in hand
+    need_body: bytes = b""
+    call: Call | None = None  # in the database's hands
+    original: Entry | None = None  # what it repeats
+    stale: list[object] = field(default_factory=list)  # links on which a late reply of it may still come
--- /dev/null
+++ b/landingshift/net/routing/router.py
@@ -0,0 +1,366 @@
+"""Hands events to the decision module and does what it asks for. Decides nothing itself."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from landingshift.brain import Server
+from landingshift.interface import Advert, Effect, Gauges, Method, Outcome, Rpc, Settings, Tenant
+from landingshift.net.protocol import engine as engine_wire
+from landingshift.net.protocol import gateway as wire
+from landingshift.net.routing.database import Database
+from landingshift.net.routing.engine import Engine
+from landingshift.net.routing.gateways import OPEN, Connection, Gateways
+from landingshift.net.routing.health import Health
+from landingshift.net.routing.kept import Entry, Kept
+from landingshift.net.routing.records import Routed
+from landingshift.net.transport.datagram import Datagrams
+from landingshift.net.transport.loop import Loop, Timer
+from landingshift.net.transport.slots import Slots
+from landingshift.net.transport.stream import Address
+
+GAUGES_WAIT = 25.0  # ms that a look waits for the gauges: deadlines do not wait for a silent engine
+GAUGES_LAST = 500.0  # ms that gauges are taken for the state of the cores
+LEAVE = 600.0  # ms before the stop at which connections are asked to go
+SPARE = 32  # descriptors that are not for gateways
+KEPT_SHARE = 0.25  # of the memory, for kept results
+
+
+@dataclass(slots=True)
+class Site:
+    """What a server is told at its start."""
+
+    name: str
+    listen: Address
+    engine: Address
+    database: Address
+    roster: Address
+    seed: int
+    stop_ms: float
+    memory_mb: float
+    sockets: int
+    settings: Settings
+    methods: dict[str, Method]
+    tenants: dict[str, Tenant]
+    gauges: list[str]
+    deep_checks: bool
+
+
+class Router:
+    def __init__(self, loop: Loop, site: Site, report: Callable[..., None]) -> None:
+        self.loop, self.site, self.report = loop, site, report
+        self.server: Server | None = None
+        self.rpcs: Slots[Routed] = Slots()
+        self.by_id: dict[bytes, int] = {}
+        self.todo: deque[Callable[[], None]] = deque()  # events that must not reach the module while it acts
+        self.stirred = False
+        self.alarm: Timer | None = None
+        self.patience: Timer | None = None  # set while a look waits for the gauges
+        self.gauges, self.gauged = Gauges(None, None, None), 0.0
+        self.told: dict[str, str] = {}  # fields that each answer carries
+        self.kept = Kept(int(site.memory_mb * KEPT_SHARE * 1048576.0), site.settings.share_for)
+        self.gateways = Gateways(
+            loop, site.listen, max(8, site.sockets - SPARE), site.settings.link_idle, self, report
+        )
+        self.database = Database(loop, site.database, self.called, report)
+        self.engine = Engine(loop, site.engine, self, report)
+        self.health_state = Health(loop, site.name, Datagrams(site.roster), self.engine, site.deep_checks)
+        self.draining = False
+        loop.settle = self.settle
+
+    # The pass
+
+    def settle(self) -> None:
+        while self.todo or self.stirred:
+            while self.todo:
+                self.todo.popleft()()
+            self.stirred = False
+            if self.server is not None:
+                self.server.now = self.loop.now
+                self.server.settle()
+        self.database.flush(lambda rid: (rpc := self.find(rid)) is not None and rpc.call is not None)
+
+    def stir(self) -> Server:
+        assert self.server is not None
+        self.server.now = self.loop.now
+        self.stirred = True
+        return self.server
+
+    def find(self, rid: bytes) -> Routed | None:
+        slot = self.by_id.get(rid)
+        return self.rpcs.get(slot) if slot is not None else None
+
+    # What gateways send
+
+    def read(self, connection: Connection, call: wire.Call) -> None:
+        st = self.site
+        try:
+            method = st.methods.get(call.method)
+            if method is None:
+                raise wire.BadField("method")
+            f = wire.fields(call.params)
+            tenant = st.tenants.get(f.tenant)
+            if tenant is None and st.tenants:
+                raise wire.BadField("tenant")
+            if f.rid in self.by_id:
+                raise wire.BadField("id")  # the engine could not tell the two apart
+            if len(connection.rpcs) >= OPEN or self.server is None:
+                raise wire.BadField("early" if self.server is None else "open")
+        except wire.BadField as err:
+            if not connection.bad:
+                self.report("bad_rpc", field=str(err), method=call.method)
+            connection.bad, connection.fault = connection.bad + 1, str(err)
+            connection.answer(call.number, wire.pushed_back(call.number, self.told))
+            return
+        now = time.time() * 1000.0
+        tokened = method.effect is Effect.TOKENED
+        same = f.token if tokened else f.key
+        rpc = Routed(
+            method=method,
+            tenant=tenant,
+            remaining=f.at + f.wait - now if st.settings.deadline_told else None,
+            waited=max(0.0, now - f.at),
+            kb=f.kb,
+            caller=f.caller,
+            hint=f.hint,
+            keyed=f.key is not None,
+            repeat=False,
+            retry=f.retry,
+            write=False,
+            rid=f.rid,
+            name=call.method.encode(),
+            body=f.body,
+            connection=connection.slot,
+            number=call.number,
+            subject=(call.method.encode(), same) if same else None,
+        )
+        rpc.original = self.kept.find(rpc, self.loop.now)
+        rpc.repeat = rpc.original is not None
+        rpc.slot = self.rpcs.put(rpc)
+        self.by_id[rpc.rid] = rpc.slot
+        connection.rpcs[call.number] = rpc
+        rpc.job = self.stir().read(rpc)
+
+    def hangup(self, rpc: Routed) -> None:
+        rpc.gone = True
+        self.todo.append(lambda: self.leave_alone(rpc))
+
+    def leave_alone(self, rpc: Routed) -> None:
+        if not rpc.closed and rpc.job is not None:
+            self.stir().hangup(rpc.job)
+            self.engine.answered(rpc)
+            self.database.give_up(rpc)
+
+    def probe(self, connection: Connection, call: wire.Call) -> None:
+        self.health_state.check(
+            wire.deep(call.params),
+            lambda good: connection.stream.write(wire.probed(call.number, good, self.told)),
+        )
+
+    # What the engine tells
+
+    def engine_up(self, hello: engine_wire.Hello) -> None:
+        settings = replace(self.site.settings, cold=hello.cold)
+        # The module's clock starts with the cores, which warm up from then on.
+        self.server = Server(settings, self.site.seed, self, self.loop.now - hello.age)
+        self.health_state.start()
+        if self.draining:
+            self.stir().quiesce(self.site.stop_ms)
+
+    def done(self, done: engine_wire.Done) -> None:
+        rpc = self.find(done.rid)
+        if rpc is None or rpc.job is None:
+            return
+        rpc.command = None
+        self.database.give_up(rpc)
+        entry = self.kept.owned(rpc)
+        if done.outcome is Outcome.OK:
+            self.answer(rpc, wire.ok(rpc.number, done.result, self.told))
+        else:
+            self.answer(rpc, wire.aborted(rpc.number, self.told))
+        self.stir().ended(rpc.job, done.outcome, done.elapsed)
+        if entry is not None:
+            self.end_kept(entry, done.outcome, done.result)
+
+    def need(self, need: engine_wire.Need) -> None:
+        rpc = self.find(need.rid)
+        if rpc is None or rpc.job is None:
+            return
+        rpc.command, rpc.need, rpc.need_body = None, need.number, need.body
+        self.stir().wants_call(rpc.job)
+
+    def refused(self, no: engine_wire.No) -> None:
+        rpc = self.find(no.rid)
+        self.report("engine_no", command=no.command.decode("latin-1"), known=rpc is not None)
+        if rpc is not None and no.command == b"RUN":
+            self.done(engine_wire.Done(0, no.rid, Outcome.NOT_SENT, 0.0, b""))
+
+    def stats(self, values: list[float]) -> None:
+        named = dict(zip(self.site.gauges, values, strict=False))
+        self.gauges = Gauges(named.get("core_use"), named.get("on_cores"), named.get("links"))
+        self.gauged = self.loop.now
+        if self.patience is not None:
+            self.woken()
+
+    # What the database tells
+
+    def called(self, rpc: Routed, outcome: Outcome, took: float, reply: bytes) -> None:
+        self.todo.append(lambda: self.call_over(rpc, outcome, took, reply))
+
+    def call_over(self, rpc: Routed, outcome: Outcome, took: float, reply: bytes) -> None:
+        if rpc.closed or rpc.job is None or rpc.answered or rpc.gone:
+            return
+        if outcome is Outcome.OK:
+            self.engine.say(rpc, engine_wire.feed(rpc.rid, reply))
+        self.stir().call_done(rpc.job, outcome, took)
+
+    # Time
+
+    def look(self) -> None:
+        self.alarm = None
+        if self.engine.ready:
+            self.engine.ask()
+            if self.patience is None:
+                self.patience = self.loop.after(GAUGES_WAIT, self.woken)
+        else:
+            self.woken()
+
+    def woken(self) -> None:
+        self.loop.cancel(self.patience)
+        self.patience = None
+        fresh = self.loop.now - self.gauged < GAUGES_LAST
+        self.stir().woken(self.gauges if fresh else Gauges(None, None, None))
+
+    def drain(self) -> None:
+        """The notice to leave: answers all that was read, then lets the connections go, then ends."""
+        if self.draining:
+            return
+        self.draining = True
+        left = self.site.stop_ms
+        if self.server is None:
+            self.loop.stop()
+            return
+        self.stir().quiesce(left)
+        self.loop.after(max(left - LEAVE, left / 2.0), self.depart)
+
+    def depart(self) -> None:
+        self.gateways.leave()
+        self.wait_for_last()
+
+    def wait_for_last(self) -> None:
+        if len(self.gateways.table) == 0:
+            self.loop.stop()
+        else:
+            self.loop.after(20.0, self.wait_for_last)
+
+    # What the module asks for
+
+    def answer(self, rpc: Routed, data: bytes) -> None:
+        """One final answer, whatever is said later."""
+        connection = self.gateways.table.get(rpc.connection)
+        if not rpc.answered and not rpc.gone and connection is not None:
+            connection.answer(rpc.number, data)
+        rpc.answered = True
+
+    def run(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Routed)
+        self.engine.say(rpc, engine_wire.run(rpc.rid, rpc.name, rpc.body), True)
+
+    def stop(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Routed)
+        self.engine.halt(rpc)
+
+    def push_back(self, rpc: Rpc, hold_off: float, final: bool) -> None:
+        assert isinstance(rpc, Routed)
+        told = self.told
+        if hold_off > 0 or final:
+            told = dict(told)
+            if hold_off > 0:
+                told["after"] = f"{hold_off:.0f}"
+            if final:
+                told["last"] = "1"
+        self.answer(rpc, wire.pushed_back(rpc.number, told))
+
+    def abort(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Routed)
+        self.answer(rpc, wire.aborted(rpc.number, self.told))
+        self.engine.answered(rpc)
+        self.database.give_up(rpc)
+
+    def call(self, rpc: Rpc, allow: float) -> None:
+        assert isinstance(rpc, Routed)
+        if not self.database.call(rpc, allow):
+            self.called(rpc, Outcome.NO_CONNECTION, 0.0, b"")
+
+    def skip(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Routed)
+        self.engine.say(rpc, engine_wire.skip(rpc.rid, rpc.need))
+
+    def keep(self, rpc: Rpc, time: float) -> None:
+        assert isinstance(rpc, Routed)
+        self.kept.keep(rpc, self.loop.now + time)
+
+    def forget(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Routed)
+        entry = self.kept.owned(rpc)
+        if entry is not None:
+            self.end_kept(entry, Outcome.ABORTED, b"")
+            self.kept.remove(entry)
+
+    def join(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Routed)
+        entry = rpc.original
+        assert entry is not None
+        if entry.outcome is None:
+            entry.waiting[rpc] = None
+        else:
+            self.todo.append(lambda: self.joined(rpc, entry))
+
+    def end_kept(self, entry: Entry, outcome: Outcome, result: bytes) -> None:
+        for waiting in self.kept.end(entry, outcome, result, self.loop.now):
+            self.todo.append(lambda waiting=waiting: self.joined(waiting, entry))  # type: ignore[misc]
+
+    def joined(self, rpc: Routed, entry: Entry) -> None:
+        if rpc.closed or rpc.job is None:
+            return
+        good = entry.outcome is Outcome.OK and entry.result is not None
+        if good:
+            self.answer(rpc, wire.ok(rpc.number, entry.result or b"", self.told))
+        else:
+            self.answer(rpc, wire.aborted(rpc.number, self.told))
+        self.stir().ended(rpc.job, Outcome.OK if good else Outcome.ABORTED, 0.0)
+
+    def closed(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Routed)
+        if not rpc.answered and not rpc.gone:  # nothing that was read may end without an answer
+            self.answer(rpc, wire.aborted(rpc.number, self.told))
+        rpc.closed = True
+        if rpc.original is not None:
+            rpc.original.waiting.pop(rpc, None)
+            rpc.original = None
+        rpc.stale.clear()
+        del self.by_id[rpc.rid]
+        self.rpcs.drop(rpc.slot)
+
+    def health(self, good: bool, cheap: bool) -> None:
+        self.health_state.set(good, cheap)
+
+    def advertise(self, amount: float) -> None:
+        if self.site.settings.advert is not Advert.NONE:
+            self.told = {"say": f"{amount:g}"}
+
+    def reap(self, idle: float) -> None:
+        self.gateways.set_idle(idle)
+
+    def wake(self, delay: float) -> None:
+        self.loop.cancel(self.alarm)
+        self.alarm = self.loop.after(delay, self.look)
+        if self.patience is not None:  # the look under way has been put off
+            self.loop.cancel(self.patience)
+            self.patience = None
+
+    def log(self, text: str) -> None:
+        self.report("mode", text=text)
--- /dev/null
+++ b/landingshift/net/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, time and numbered slots; knows no message."""
--- /dev/null
+++ b/landingshift/net/transport/loop.py
@@ -0,0 +1,110 @@
+"""The one loop: sockets are read, then timers fire, then what the pass produced is settled and written."""
+
+from __future__ import annotations
+
+import heapq
+import selectors
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+LATE = 5.0  # a timer later than this says that the process stood still: look at the sockets once more
+
+
+class Watcher(Protocol):
+    def ready(self, mask: int) -> None: ...
+
+
+class Writer(Protocol):
+    def flush(self) -> None: ...
+
+
+class Timer:
+    __slots__ = ("action", "at")
+
+    def __init__(self, at: float, action: Callable[[], None] | None) -> None:
+        self.at, self.action = at, action
+
+
+class Loop:
+    """`settle` ends each pass; `fault` hears of what a handler raised, which must not stop the others."""
+
+    def __init__(self, fault: Callable[[], None]) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.timers: list[tuple[float, int, Timer]] = []
+        self.count, self.dead = 0, 0
+        self.dirty: dict[Writer, None] = {}
+        self.fault, self.running = fault, True
+        self.settle: Callable[[], None] = lambda: None
+        self.now = self.clock()
+
+    @staticmethod
+    def clock() -> float:
+        return time.monotonic() * 1000.0
+
+    def after(self, delay: float, action: Callable[[], None]) -> Timer:
+        timer = Timer(self.now + delay, action)
+        self.count += 1
+        heapq.heappush(self.timers, (timer.at, self.count, timer))
+        return timer
+
+    def cancel(self, timer: Timer | None) -> None:
+        if timer is None or timer.action is None:
+            return
+        timer.action = None
+        self.dead += 1
+        if self.dead > 64 and self.dead * 2 > len(self.timers):
+            # Bounded memory: far deadlines are mostly cancelled long before they would be popped.
+            self.timers = [entry for entry in self.timers if entry[2].action is not None]
+            heapq.heapify(self.timers)
+            self.dead = 0
+
+    def watch(self, fd: int, mask: int, watcher: Watcher) -> None:
+        """Watches for `mask`; 0 ends it."""
+        known = self.selector.get_map().get(fd)
+        if known is None:
+            if mask:
+                self.selector.register(fd, mask, watcher)
+        elif not mask:
+            self.selector.unregister(fd)
+        elif known.events != mask or known.data is not watcher:
+            self.selector.modify(fd, mask, watcher)
+
+    def stop(self) -> None:
+        self.running = False
+
+    def run(self) -> None:
+        while self.running:
+            self.turn()
+
+    def turn(self) -> None:
+        self.read(max(0.0, self.timers[0][0] - self.clock()) if self.timers else 1000.0)
+        if self.timers and self.now - self.timers[0][0] > LATE:
+            # After a pause what came meanwhile must be seen before anything is held to be overdue.
+            self.read(0.0)
+        while self.timers and self.timers[0][0] <= self.now:
+            timer = heapq.heappop(self.timers)[2]
+            if timer.action is None:
+                self.dead -= 1
+            else:
+                action, timer.action = timer.action, None
+                self.guarded(action)
+        self.guarded(self.settle)
+        while self.dirty:
+            writers, self.dirty = self.dirty, {}
+            for writer in writers:
+                self.guarded(writer.flush)
+
+    def read(self, wait: float) -> None:
+        events = self.selector.select(wait / 1000.0)
+        self.now = self.clock()
+        for key, mask in events:
+            known = self.selector.get_map().get(key.fd)
+            if known is not None and known.data is key.data:  # not closed by a handler before it
+                self.guarded(lambda key=key, mask=mask: key.data.ready(mask))  # type: ignore[misc]
+
+    def guarded(self, step: Callable[[], None]) -> None:
+        try:
+            step()
+        except Exception:  # one bad message or defect must not end the RPCs of all others
+            self.fault()
--- /dev/null
+++ b/landingshift/net/transport/stream.py
@@ -0,0 +1,188 @@
+"""Non-blocking TCP: streams with partial writes and bounded buffers, and the listener."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+from selectors import EVENT_READ, EVENT_WRITE
+from typing import Protocol
+
+from landingshift.net.transport.loop import Loop, Timer
+
+CHUNK = 16384
+READS = 8  # chunks taken from one stream before the others have their turn
+LINGER = 1000.0  # ms that the other side has to close after we have
+PAUSE = 100.0  # ms without accepting after the descriptors ran out
+Address = tuple[str, int]
+
+
+class Owner(Protocol):
+    def data(self, data: bytes) -> None: ...
+    def eof(self) -> None: ...  # the other side writes no more
+    def ended(self, reason: str) -> None: ...  # the stream is closed
+
+
+class Stream:
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, bound: int, connecting: bool) -> None:
+        self.loop, self.sock, self.owner, self.bound = loop, sock, owner, bound
+        self.connecting, self.reading, self.open, self.reason = connecting, True, True, ""
+        self.out = bytearray()
+        self.queued = self.sent = 0  # bytes since the start; what is not sent has proved nothing
+        self.last = loop.now  # when bytes last went either way
+        self.timer: Timer | None = None
+        self.watch()
+
+    def watch(self) -> None:
+        mask = EVENT_READ if self.reading and not self.connecting else 0
+        if self.connecting or self.out:
+            mask |= EVENT_WRITE
+        self.loop.watch(self.sock.fileno(), mask, self)
+
+    def ready(self, mask: int) -> None:
+        if self.connecting:
+            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self.close("refused" if code == errno.ECONNREFUSED else "unreachable")
+                return
+            self.connecting = False
+            self.flush()
+        elif mask & EVENT_WRITE:
+            self.flush()
+        if mask & EVENT_READ and self.open and not self.connecting:
+            self.read()
+
+    def read(self) -> None:
+        for _ in range(READS):
+            try:
+                data = self.sock.recv(CHUNK)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                self.close("reset")
+                return
+            if not data:
+                self.reading = False
+                self.watch()
+                if self.reason:
+                    self.close(self.reason)
+                else:
+                    self.owner.eof()
+                return
+            self.last = self.loop.now
+            if not self.reason:
+                self.owner.data(data)
+            if not self.open or len(data) < CHUNK:
+                return
+
+    def write(self, data: bytes) -> None:
+        """Queues; the loop sends at the end of its pass."""
+        if not self.open or self.reason:
+            return
+        self.out += data
+        self.queued += len(data)
+        self.loop.dirty[self] = None
+        if len(self.out) > self.bound:
+            self.flush()
+            if len(self.out) > self.bound:  # a peer that stops reading must not fill the memory
+                self.close("stalled")
+
+    def flush(self) -> None:
+        if not self.open or self.connecting:
+            return
+        try:
+            while self.out:
+                count = self.sock.send(self.out)
+                self.sent += count
+                del self.out[:count]
+                self.last = self.loop.now
+        except (BlockingIOError, InterruptedError):
+            pass
+        except OSError:
+            self.close("reset")
+            return
+        if self.reason and not self.out:
+            self.shut()
+        if self.open:
+            self.watch()
+
+    def finish(self, reason: str) -> None:
+        """Closes once all is written; the other side is let read it."""
+        if self.open and not self.reason:
+            self.reason = reason
+            self.timer = self.loop.after(LINGER, lambda: self.close(reason))
+            self.flush()
+
+    def shut(self) -> None:
+        if not self.reading:
+            self.close(self.reason)
+            return
+        try:
+            # A close with bytes unread would reset the connection and could take answers with it.
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close(self.reason)
+
+    def close(self, reason: str) -> None:
+        if self.open:
+            self.open = False
+            self.loop.cancel(self.timer)
+            self.loop.watch(self.sock.fileno(), 0, self)
+            self.sock.close()
+            self.owner.ended(reason)
+
+
+def connect(loop: Loop, address: Address, owner: Owner, bound: int) -> Stream | str:
+    """A stream on its way, or the reason why there is none."""
+    try:
+        sock = socket.socket()
+    except OSError:
+        return "unreachable"
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    code = sock.connect_ex(address)
+    if code in (0, errno.EINPROGRESS):
+        return Stream(loop, sock, owner, bound, bool(code))
+    sock.close()
+    return "refused" if code == errno.ECONNREFUSED else "unreachable"
+
+
+class Listener:
+    def __init__(self, loop: Loop, address: Address, take: Callable[[socket.socket], bool]) -> None:
+        """`take` says whether there is room for more."""
+        self.loop, self.take, self.open = loop, take, True
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(1024)
+        loop.watch(self.sock.fileno(), EVENT_READ, self)
+
+    def ready(self, _mask: int) -> None:
+        for _ in range(64):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, ConnectionAbortedError, InterruptedError):
+                return
+            except OSError:  # out of descriptors: the loop would spin on a socket that stays readable
+                self.rest()
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if not self.take(sock):
+                self.rest()
+                return
+
+    def rest(self) -> None:
+        self.loop.watch(self.sock.fileno(), 0, self)
+        self.loop.after(PAUSE, self.resume)
+
+    def resume(self) -> None:
+        if self.open:
+            self.loop.watch(self.sock.fileno(), EVENT_READ, self)
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.loop.watch(self.sock.fileno(), 0, self)
+            self.sock.close()
