--- a/landingshift/net/routing/database.py
+++ b/landingshift/net/routing/database.py
@@ -32,7 +32,7 @@
         self.pool, self.reader = pool, wire.Reader()
         self.calls: dict[bytes, Call] = {}
         self.silent = 0
-        stream = connect(pool.loop, pool.address, self, BOUND)
+        stream = connect(pool.loop, pool.address, self, BOUND) if pool.address else "unreachable"
         self.stream = stream if isinstance(stream, Stream) else None
         if self.stream:
             pool.loop.after(IDLE, self.rest)
@@ -78,7 +78,7 @@
     def __init__(
         self,
         loop: Loop,
-        address: Address,
+        address: Address | None,
         told: Callable[[Routed, Outcome, float, bytes], None],
         log: Callable[..., None],
     ) -> None:
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -37,7 +37,7 @@
     name: str
     listen: Address
     engine: Address
-    database: Address
+    database: Address | None
     roster: Address
     seed: int
     stop_ms: float
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -160,7 +160,7 @@
             self.loop.cancel(self.timer)
             self.loop.watch(self.sock.fileno(), 0, self)
             self.sock.close()
-            self.owner.ended(reason)
+            self.owner.ended(self.reason or reason)  # a reset after our own close is not why it ended
 
 
 def connect(loop: Loop, address: Address, owner: Owner, bound: int) -> Stream | str:
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,222 @@
+"""The parts of the server that need no program to be started."""
+
+import os
+import socket
+import struct
+import traceback
+import unittest
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from landingshift.interface import Effect, Outcome
+from landingshift.net.program import config
+from landingshift.net.program.log import Log
+from landingshift.net.protocol import engine, gateway
+from landingshift.net.protocol.lines import Broken
+from landingshift.net.routing.database import Database
+from landingshift.net.routing.engine import Engine
+from landingshift.net.routing.health import Health
+from landingshift.net.routing.kept import ENTRY, Kept
+from landingshift.net.routing.records import Routed
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.slots import Slots
+from tests.helpers import BLANK, METHOD
+
+
+def routed(rid: int, effect: Effect = Effect.IDEMPOTENT, subject: str = "s") -> Routed:
+    return Routed(
+        **{**BLANK, "method": replace(METHOD, effect=effect)},
+        rid=b"%016x" % rid, name=b"m", body=b"", connection=0, number=rid, subject=(b"m", subject),
+    )  # fmt: skip
+
+
+class Table(unittest.TestCase):
+    def test_a_slot_used_again_has_another_number(self) -> None:
+        slots: Slots[str] = Slots()
+        first = slots.put("a")
+        slots.drop(first)
+        second = slots.put("b")
+        slots.drop(first)  # late news for the old holder
+        self.assertEqual(
+            (slots.get(first), slots.get(second), len(slots), list(slots)), (None, "b", 1, ["b"])
+        )
+
+
+class Time(unittest.TestCase):
+    def test_order_cancel_and_bound(self) -> None:
+        faults: list[int] = []
+        loop, fired = Loop(lambda: faults.append(1)), []
+        for delay in (3.0, 1.0, 2.0):
+            loop.after(delay, lambda delay=delay: fired.append(delay))  # type: ignore[misc]
+        loop.after(0.5, lambda: 1 // 0)  # must not keep the others from firing
+        cancelled = [loop.after(60000.0, lambda: fired.append(0.0)) for _ in range(1000)]
+        for timer in cancelled:
+            loop.cancel(timer)
+        self.assertLess(len(loop.timers), 200)
+        while len(fired) < 3:
+            loop.turn()
+        self.assertEqual((fired, faults), ([1.0, 2.0, 3.0], [1]))
+        loop.selector.close()
+
+
+class Bytes(unittest.TestCase):
+    def test_engine_lines(self) -> None:
+        good = engine.Done(7, b"aa", Outcome.OK, 1.5, b"a\r\nb")
+        for data, messages in [
+            (b"DONE 7 aa good 1.5 4\r\na\r\nb\r\n", [good]),
+            (b"DONE 7 aa bad 1.5 0\r\n\r\nNOTE 8 x y 99\r\n",
+             [engine.Done(7, b"aa", Outcome.ABORTED, 1.5, b""), engine.Note(8)]),
+            (b"DONE 7 aa gone 0\r\nNO RUN aa\r\n",
+             [engine.Done(7, b"aa", Outcome.NOT_SENT, 0.0, b""), engine.No(b"RUN", b"aa")]),
+            (b"STATS t 1 2.5 3 4\r\nTESTED t bad\r\n",
+             [engine.Stats(b"t", [1, 2.5, 3, 4]), engine.Tested(b"t", False)]),
+        ]:  # fmt: skip
+            with self.subTest(data=data):
+                whole, split = engine.Reader(), engine.Reader()
+                self.assertEqual(whole.feed(data), messages)
+                self.assertEqual([m for b in data for m in split.feed(bytes([b]))], messages)
+        for data in (
+            b"DONE 7 aa good 1 3\r\nabcd\r\n",
+            b"HELLO new\r\n",
+            b"DONE -1 aa good 1 0\r\n",
+            b"x" * 600,
+        ):
+            with self.subTest(data=data[:20]), self.assertRaises(Broken):
+                engine.Reader().feed(data)
+
+    def test_a_gateway_message_in_pieces_stays_bounded(self) -> None:
+        reader, failed = gateway.Reader(), False
+        for _ in range(100):
+            failed = failed or bool(
+                reader.feed(b"\x94\x00\x01\xa1m\xc6\x7f\xff\xff\xff" if not reader.held else bytes(1000))
+            )
+        self.assertTrue(failed)
+
+
+class Results(unittest.TestCase):
+    def test_bound(self) -> None:
+        # What goes when the memory is short: results of reads whole, of others all but that they happened.
+        for effect, known in [(Effect.IDEMPOTENT, False), (Effect.TOKENED, True)]:
+            with self.subTest(effect=effect):
+                kept = Kept(20 * (ENTRY + 1000), share_for=60000.0)
+                for i in range(100):
+                    rpc = routed(i, effect, str(i))
+                    kept.keep(rpc, 60000.0)
+                    entry = kept.owned(rpc)
+                    assert entry is not None
+                    kept.end(entry, Outcome.OK, bytes(1000), float(i))
+                self.assertLess(sum(len(e.result or b"") for e in kept.entries.values()), 20 * (ENTRY + 1000))
+                self.assertEqual(kept.find(routed(200, effect, "0"), 200.0) is not None, known)
+                self.assertIsNotNone(kept.find(routed(200, effect, "99"), 200.0))
+
+    def test_how_long(self) -> None:
+        for effect, outcome, at, known in [
+            (Effect.IDEMPOTENT, Outcome.OK, 600.0, True), (Effect.IDEMPOTENT, Outcome.OK, 800.0, False),
+            (Effect.IDEMPOTENT, Outcome.ABORTED, 200.0, False),
+            (Effect.TOKENED, Outcome.ABORTED, 4000.0, True),
+            (Effect.TOKENED, Outcome.OK, 4000.0, True), (Effect.TOKENED, Outcome.OK, 5001.0, False),
+        ]:  # fmt: skip
+            with self.subTest(effect=effect, outcome=outcome, at=at):
+                kept = Kept(10000, share_for=500.0)
+                owner = routed(1, effect)
+                kept.keep(owner, 5000.0)
+                self.assertIsNotNone(kept.find(routed(2, effect), 100.0))
+                entry = kept.owned(owner)
+                assert entry is not None
+                kept.end(entry, outcome, b"r", 200.0)
+                self.assertEqual(kept.find(routed(3, effect), at) is not None, known)
+
+
+class Calls(unittest.TestCase):
+    def test_an_idle_link_is_closed_before_the_database_does(self) -> None:
+        # Half a call that crosses the other side's close could not be told from one that ran.
+        door = socket.create_server(("127.0.0.1", 0))
+        faults: list[str] = []
+        loop = Loop(lambda: faults.append(traceback.format_exc()))
+        told: list[Any] = []
+        lines: list[Any] = []
+        database = Database(
+            loop, door.getsockname(), lambda *a: told.append(a), lambda *a, **_: lines.append(a)
+        )
+        rpc = routed(1)
+        with mock.patch("landingshift.net.routing.database.IDLE", 40.0):
+            self.assertTrue(database.call(rpc, 1000.0))
+            loop.turn()
+            peer = door.accept()[0]
+            peer.settimeout(5.0)
+            peer.sendall(b"%b ROWS 2\r\nok\r\n" % rpc.rid)
+            while not told or database.links:
+                loop.turn()
+            self.assertEqual((told[0][0], told[0][1], told[0][3]), (rpc, Outcome.OK, b"ok"))
+            self.assertTrue(peer.recv(100).startswith(b"Q " + rpc.rid))
+            self.assertEqual(peer.recv(100), b"")
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            peer.close()  # with a reset, which is no loss
+            while loop.selector.get_map():
+                loop.turn()
+            self.assertTrue(database.call(rpc, 1000.0))  # on a new link
+        self.assertEqual((lines, faults), ([], []))
+        for link in database.links:
+            assert link.stream
+            link.stream.close("test")
+        loop.selector.close()
+        door.close()
+
+
+class Checks(unittest.TestCase):
+    def test_a_deep_check_does_work_unless_the_module_answers_it(self) -> None:
+        for ready, good, cheap, deep, answer in [
+            (True, True, False, True, "tested"), (True, True, True, True, True),
+            (True, True, False, False, True), (True, False, False, True, False),
+            (False, True, True, True, False), (False, True, True, False, True),
+        ]:  # fmt: skip
+            with self.subTest(ready=ready, good=good, cheap=cheap, deep=deep):
+                link: Any = mock.Mock(spec=Engine, ready=ready)
+                link.test.side_effect = lambda told: told("tested")
+                health = Health(mock.Mock(spec=Loop), "n", mock.Mock(), link, True)
+                health.set(good, cheap)
+                told: list[Any] = []
+                health.check(deep, told.append)
+                self.assertEqual(told, [answer])
+
+
+class Configuration(unittest.TestCase):
+    def test_the_least_and_what_the_environment_adds(self) -> None:
+        least = {
+            "engine": "127.0.0.1:1", "roster": "127.0.0.1:2", "seed": "ff",
+            "settings": {
+                "classes": [{"name": "m", "effect": "fragile", "slo": 800, "give-up": 3000, "value": 1}],
+                "extra": {"n-cores": 2, "memory-kb": 90000, "run-factor": 8},
+                "rules": {"cold-from": 0.2, "cold": 9000, "drain-grace": 1000, "tip-multiple": 8},
+            },
+        }  # fmt: skip
+        env = {"GW_NAME": "n3", "GW_LISTEN": "127.0.0.1:7001"}
+        site = config.site(least, env)
+        self.assertEqual((site.name, site.listen, site.seed), ("n3", ("127.0.0.1", 7001), 255))
+        self.assertEqual((site.stop_ms, site.memory_mb, site.sockets), (3000.0, 192.0, 1024))
+        self.assertEqual(
+            (site.database, site.gauges, site.tenants, list(site.methods)), (None, [], {}, ["m"])
+        )
+        self.assertEqual(config.site({**least, "name": "n4"}, env).name, "n4")
+        with self.assertRaisesRegex(config.BadConfig, "^listen: missing"):
+            config.site(least, {"GW_NAME": "n3"})
+
+
+class Lines(unittest.TestCase):
+    def test_a_log_that_nobody_reads_holds_nothing_up(self) -> None:
+        reads, writes = os.pipe()
+        log = Log(writes)
+        for i in range(3000):
+            log("mode", text="x" * 100, i=i)
+        self.assertGreater(log.lost, 0)
+        os.read(reads, 1 << 20)
+        log("mode", text="y" * 9000)
+        self.assertEqual(log.lost, 0)
+        self.assertIn(b'"cut"', os.read(reads, 1 << 20))
+        os.close(reads)
+        os.close(writes)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import copy
 import os
+import resource
 import signal
 import socket
 import tempfile
@@ -253,6 +254,16 @@
         link.say("DONE 2", g.id, "good 3", body=b"r")
         self.assertEqual(g.answer(), (m, b"r"))
 
+    def test_a_link_that_hangs_is_left(self) -> None:
+        w = World(self)
+        g = Gateway(w)
+        n = g.rpc(wait="9000")
+        w.engine.expect("RUN", g.id)
+        self.assertEqual(w.logged("engine_link_lost")["reason"], "silent")
+        link = Engine(w)
+        link.say("DONE 1", g.id, "good 3", body=b"r")
+        self.assertEqual(g.answer(), (n, b"r"))
+
     def test_what_is_no_notice_ends_the_link(self) -> None:
         w = World(self)
         for i, data in enumerate(
@@ -342,22 +353,25 @@
 
 class Peers(unittest.TestCase):
     def test_descriptors_run_out(self) -> None:
-        w = World(self, limits={"sockets": 64})  # 32 of them for gateways
-        first = Gateway(w)
-        crowd = [Gateway(w) for _ in range(60)]
-        w.logged("connections_full")
-        n = first.rpc()
-        w.engine.expect("RUN", first.id)
-        w.engine.say("DONE 1", first.id, "good 5", body=b"r")
-        messages = [first.message()]
-        if messages[0][0] == 2:  # it may have been asked to go: it was quiet the longest
-            messages.append(first.message())
-        self.assertEqual(messages[-1][:2] + messages[-1][3][:1], [1, n, b"r"])
-        for gateway in crowd:
-            gateway.sock.close()
-        w.logged("connections_room")
-        self.assertEqual(Gateway(w).probe()[0], True)
-        self.assertLess(cpu(w.process.pid), 2.0)  # an accept that can't be done must not spin
+        for told, really in [(64, 1024), (256, 40)]:  # 32 of those told are not for gateways
+            with self.subTest(told=told, really=really):
+                w = World(self, limits={"sockets": told})
+                resource.prlimit(w.process.pid, resource.RLIMIT_NOFILE, (really, really))
+                first = Gateway(w)
+                crowd = [Gateway(w) for _ in range(60)]
+                w.logged("connections_full")
+                n = first.rpc()
+                w.engine.expect("RUN", first.id)
+                w.engine.say("DONE 1", first.id, "good 5", body=b"r")
+                messages = [first.message()]
+                if messages[0][0] == 2:  # it may have been asked to go: it was quiet the longest
+                    messages.append(first.message())
+                self.assertEqual(messages[-1][:2] + messages[-1][3][:1], [1, n, b"r"])
+                for gateway in crowd:
+                    gateway.sock.close()
+                w.logged("connections_room")
+                self.assertEqual(Gateway(w).probe()[0], True)
+                self.assertLess(cpu(w.process.pid), 2.0)  # an accept that can't be done must not spin
 
     def test_a_peer_that_does_not_read(self) -> None:
         w = World(self)
