--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -1,12 +1,11 @@
 """Every decision of landingshift: what a server takes, runs, pushes back and tells its callers.
 
-A program makes one `Server` per instance (types and actions: `interface.py`), sets `now`, calls `read`,
-`ended`, `wants_call`, `call_done`, `hangup`, `quiesce` or `woken` for each event, then `settle` once all of a
-moment are in. Each RPC is a generator (`Server.life`) that yields what it wants done. Times are milliseconds.
+A program sets `now`, calls a method for each event, then `settle`. Each RPC is a generator (`Server.life`).
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Generator
 from enum import Enum, IntEnum
 from math import inf
@@ -44,37 +43,43 @@
     """Values of the last `count` x `width` ms, in time buckets that are used again."""
 
     def __init__(self, count: int, width: float) -> None:
-        self.width, self.count, self.stamp, self.fresh = width, count, -1, True
+        self.width, self.count, self.stamp, self.news = width, count, -1, 0
         self.buckets: list[list[float]] = [[] for _ in range(count)]
-        self.all: list[float] = []  # made anew only after a change: most looks find none
+        self.sums = [0.0] * count  # of each bucket, so that a mean need not go through all values
 
     def turn(self, now: float) -> None:
         stamp = int(now // self.width)
         if stamp != self.stamp:
             for old in range(max(self.stamp, stamp - self.count) + 1, stamp + 1):
-                if self.buckets[old % self.count]:
-                    self.buckets[old % self.count] = []
-                    self.fresh = False
+                at = old % self.count
+                self.news += len(self.buckets[at])
+                self.buckets[at], self.sums[at] = [], 0.0
             self.stamp = stamp
 
     def add(self, now: float, value: float) -> None:
         self.turn(now)
-        self.buckets[self.stamp % self.count].append(value)
-        self.fresh = False
+        at = self.stamp % self.count
+        self.buckets[at].append(value)
+        self.sums[at] += value
+        self.news += 1
 
     def values(self, now: float) -> list[float]:
         self.turn(now)
-        if not self.fresh:
-            self.all, self.fresh = [v for b in self.buckets for v in b], True
-        return self.all
+        return [v for b in self.buckets for v in b]
+
+    def size(self, now: float) -> int:
+        self.turn(now)
+        return sum(map(len, self.buckets))
 
     def mean(self, now: float, none: float) -> float:
-        values = self.values(now)
-        return sum(values) / len(values) if values else none
+        size = self.size(now)
+        return sum(self.sums) / size if size else none
 
     def lowest(self, now: float, none: float) -> float:
         self.turn(now)
-        return min((sum(b) / len(b) for b in self.buckets if len(b) > 7), default=none)
+        return min(
+            (t / len(b) for t, b in zip(self.sums, self.buckets, strict=True) if len(b) > 7), default=none
+        )
 
 
 class Learned:
@@ -83,7 +88,7 @@
     def __init__(self) -> None:
         self.whole = Ring(8, 2000.0)  # run times, calls included
         self.own = Ring(8, 5000.0)  # run times without calls
-        self.seen: list[float] = []
+        self.seen = 0
         self.p99 = self.mean = self.base = 0.0
 
     def ran(self, now: float, job: Job, whole: float) -> None:
@@ -91,10 +96,10 @@
         self.own.add(now, max(1.0, whole - job.called_for))
 
     def refresh(self, now: float) -> None:
-        runs = self.whole.values(now)
-        if runs is not self.seen:  # else no news: servers of a large fleet hear little between two looks
-            self.seen = runs
-            self.p99 = sorted(runs)[int(len(runs) * 0.99)] if runs else 0.0
+        size = self.whole.size(now)
+        if self.whole.news - self.seen > 0.01 * size:  # fewer can't move a p99: sorting is dear
+            self.seen = self.whole.news
+            self.p99 = sorted(self.whole.values(now))[int(size * 0.99)] if size else 0.0
             self.mean = self.own.mean(now, 0.0)
             self.base = self.own.lowest(now, self.mean)
 
@@ -112,7 +117,7 @@
         self.target = min(self.arrived + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
         self.span = max(1.0, self.limit - self.arrived)  # the whole of its time
         self.called_for = self.called_at = self.call_end = 0.0
-        self.tries, self.ran = 0, False
+        self.tries, self.ran, self.gain = 0, False, (1.0 - m.skip_share) * m.criticality  # of a call
 
     def until(self, late_share: float) -> float:
         """The deadline, or the target where a late answer keeps no more than this share of its worth."""
@@ -146,7 +151,11 @@
         self.advert, self.link_idle = -1.0, settings.link_idle
         self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
-        self.run_until, self.alarm = inf, now  # what arrives later is not run; when the next look is due
+        self.run_until, self.fails, self.alarm = (
+            inf,
+            0.0,
+            now,
+        )  # what arrives later is not run; when the next look is due
         self.modes: dict[str, bool] = {}
         out.health(True, True)
         self.wake(TICK * Random(seed).random())  # so that a fleet does not look at its gauges in step
@@ -249,7 +258,8 @@
         job = Job(rpc, self.learned[rpc.method], self.now)
         if rpc.tenant is not None:
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
-        self.back.add(self.now, 1.0 if rpc.caller in self.callers.values(self.now) else 0.0)
+        self.callers.turn(self.now)
+        self.back.add(self.now, 1.0 if any(rpc.caller in b for b in self.callers.buckets) else 0.0)
         self.callers.add(self.now, rpc.caller)
         self.tries_seen.add(self.now, 1.0 if rpc.retry else 0.0)
         self.unread.add(self.now, rpc.waited)
@@ -260,6 +270,7 @@
         self.do(job, next(job.life))
         if job.at is Want.HOLD and not self.may_hold(job):
             self.resume(job, News.LATE)
+        self.fails = min(self.fails, self.ends_at(job))
         if job.limit < self.alarm + TICK and self.alarm > self.now + LAST:  # brought forward, never put off
             self.wake(LAST)  # No RPC lost: it must not end while this server rests
         return job
@@ -310,9 +321,9 @@
 
     def quiesce(self, left: float) -> None:
         self.run_until, self.leave_at = self.now + self.set.drain_grace, self.now + left
-        for place in self.places.values():
-            for job in place:
-                job.due = min(job.due, self.leave_at - TICK)
+        for job in (j for place in self.places.values() for j in place):
+            job.due = min(job.due, self.leave_at - TICK)
+        self.fails = 0.0
         self.out.health(False, True)
         self.wake(TICK)
         self.out.log(f"draining: {left:.0f} ms left, {len(self.places[Want.HOLD])} held")
@@ -327,6 +338,7 @@
         for learned in self.learned.values():
             learned.refresh(self.now)
         self.move_cap(gauges)
+        self.fails = 0.0
         if self.set.below is not Below.NONE:
             self.follow_calls()
         if self.now // 1000.0 > self.last // 1000.0:
@@ -335,12 +347,10 @@
         for job in [j for j, end in self.kept.items() if end <= self.now]:
             del self.kept[job]
             self.kb -= self.set.key_kb
-        next_look = self.now + REST
-        for job in [j for place in self.places.values() for j in place]:
-            next_look = min(next_look, self.sweep(job))
+        looks = [self.sweep(job) for job in [j for place in self.places.values() for j in place]]
         self.tell()
         self.last = self.now
-        self.wake(max(LAST, next_look - self.now))
+        self.wake(max(LAST, min([self.now + REST, *looks]) - self.now))
 
     def sweep(self, job: Job) -> float:
         """Ends what must end by now; returns when to look again."""
@@ -361,39 +371,40 @@
 
     def settle(self) -> None:
         """Called once all events of a moment are in: pushes back what fails the check, starts others."""
-        for job in list(self.places[Want.HOLD]):
-            # A line that stands starts only the best: the rest is told while it can still go elsewhere.
-            lost = self.value(job) < self.floor and self.now - job.arrived > GIVE_UP * job.span
-            if lost or not self.in_time(job):
-                self.resume(job, News.LATE)
         held = self.places[Want.HOLD]
+        if self.now >= self.fails:  # none can fail before: what this goes by changes at looks only
+            for job in [j for j in held if self.now >= self.ends_at(j)]:
+                self.resume(job, News.LATE)
+            self.fails = min(map(self.ends_at, held), default=inf)
         while held and self.kb > self.set.memory_kb * SAFE:  # own memory: the least worth its work goes first
             self.resume(min(held, key=self.order), News.LATE)
         while held and self.room() >= 1.0:
             best = max(held, key=self.order)
-            if self.value(best) < self.floor:
+            fits = self.kb + best.rpc.kb * (self.set.run_factor - 1.0) <= self.set.memory_kb * SAFE
+            if self.value(best) < self.floor or not (fits or len(held) > 1):
                 break
-            if self.kb + best.rpc.kb * (self.set.run_factor - 1.0) <= self.set.memory_kb * SAFE:
+            if fits:
                 self.begun.add(self.now, 1.0)
-                self.resume(best, News.START)
-            elif len(held) > 1:  # a full hold must not keep the cores from work
-                self.resume(min(held, key=self.order), News.LATE)
-            else:
-                break
+            else:  # a full hold must not keep the cores from work
+                best = min(held, key=self.order)
+            self.resume(best, News.START if fits else News.LATE)
         if self.places[Want.LINE_UP]:
             self.place_calls()
         if (held or self.places[Want.LINE_UP]) and self.alarm > self.now + TICK:
             self.wake(TICK / 2.0)
 
-    def in_time(self, job: Job) -> bool:
-        if job.arrived > self.run_until:
-            return False  # safe drain
-        margin = min(job.learned.p99, job.span * MARGIN_SHARE)
-        return self.now + margin < job.limit  # what has no time left is not run, before any margin is learned
+    def fails_at(self, job: Job) -> float:
+        margin = min(job.learned.p99, job.span * MARGIN_SHARE)  # the check, before any is learned too
+        return job.limit - margin if job.arrived <= self.run_until else 0.0  # safe drain
+
+    def ends_at(self, job: Job) -> float:
+        # A line that stands starts only the best: the rest is told while it can still go elsewhere.
+        lost = job.arrived + GIVE_UP * job.span if self.value(job) < self.floor else inf
+        return min(self.fails_at(job), lost)
 
     def order(self, job: Job) -> tuple[float, float]:
         """Criticality over expected work; newest first while a line stands."""
-        return self.value(job), job.arrived if self.pushed.values(self.now) else -job.arrived
+        return self.value(job), job.arrived if self.pushed.size(self.now) else -job.arrived
 
     def value(self, job: Job) -> float:
         tenant = job.rpc.tenant
@@ -424,17 +435,15 @@
         if idle > 0 and self.places[Want.HOLD]:
             self.cap = max(self.cap, running + idle)
         elif self.use >= BUSY and self.now - self.cut_at >= 500.0:
-            # Measured over base latency. Where too few runs end to know it, runs that share the cores last as
-            # much longer as more are on the cores than there are: a small server's cap must not stay up.
-            few = len(self.stretch.values(self.now)) < 5
-            stretch = self.on_cores / cores if few else self.stretch.mean(self.now, 1.0)
+            # Measured over base latency; where few runs end, by what is on the cores: it must not stay up.
+            known = self.stretch.size(self.now) > 4
+            stretch = self.stretch.mean(self.now, 1.0) if known else self.on_cores / cores
             self.cap *= max(0.5, min(1.0, 1.0 / max(0.01, stretch)))
             self.cut_at = self.now
         self.cap = max(float(cores), min(self.cap, self.crowd()))
-        # Better work grows too old unread while lesser work fills the slots: while all cores are busy, only
-        # as much starts as has been starting, the best of what comes.
-        begun, values = len(self.begun.values(self.now)), sorted(self.values.values(self.now), reverse=True)
-        late = len(self.pushed.values(self.now))
+        # Better work grows too old while lesser fills the slots: only as much starts as did, the best of it.
+        begun, values = self.begun.size(self.now), sorted(self.values.values(self.now), reverse=True)
+        late = self.pushed.size(self.now)
         stands = idle <= 0 and self.use >= BUSY and late > STANDS * len(values)
         self.floor = values[begun] if stands and begun < len(values) else 0.0
         self.mode("choosing", self.floor > 0.0, f"of {len(values)} read {begun} begun {late} too late")
@@ -452,7 +461,7 @@
         base = self.call_times.lowest(self.now, 0.0)
         mean = sum(good) / len(good) if good else 0.0
         dt = (self.now - self.last) / 1000.0
-        if len(recent) >= 6 and (len(good) * 2 < len(recent) or (base and mean > 3.0 * base)):
+        if len(recent) >= 6 and (len(good) * 2 < len(recent) or (base and mean > 3.0 * max(base, LAST))):
             self.rate = max(1.0, min(self.rate, len(recent)) * (1.0 - 0.5 * dt))
         else:
             self.rate = inf if self.rate > 2.0 * len(recent) + 10.0 else self.rate * (1.0 + dt)
@@ -466,21 +475,18 @@
         if self.tokens < 1.0:
             return False
         if self.set.below is Below.SHARED and self.set.calls_out > 0:
-            # The shared store falls when all hold too many, and slow calls are in hand for long: what was in
-            # hand and all that the calls out may still take, abandoned ones included, stay within our share.
+            # The shared store falls: what was in hand and what calls out may still take stay in our share.
             out = sum(j.call_end - j.called_at for j in self.places[Want.CALL])
-            load = sum(self.call_load.values(self.now))
+            self.call_load.turn(self.now)
             share = self.set.calls_out * self.set.calls_over * SAFE
-            return load + out + self.allow(job) + self.set.linger <= share
+            return sum(self.call_load.sums) + out + self.allow(job) + self.set.linger <= share
         return True
 
     def place_calls(self) -> None:
         mean = self.call_times.mean(self.now, 0.0)
-        methods = {job: job.rpc.method for job in self.places[Want.LINE_UP]}
-        line = sorted(methods, key=lambda j: (methods[j].skip_share - 1.0) * methods[j].criticality)
-        for place, job in enumerate(line, 1):
+        for place, job in enumerate(sorted(self.places[Want.LINE_UP], key=lambda j: -j.gain), 1):
             wait = max(self.now - job.called_at, place * 1000.0 / self.rate)
-            dear = methods[job].skip_share > 0 and wait > CALL_WAIT * job.span
+            dear = job.rpc.method.skip_share > 0 and wait > CALL_WAIT * job.span
             if self.may_call(job):
                 self.tokens -= 1.0
                 self.resume(job, News.GO)
@@ -492,15 +498,13 @@
     def judge_tenants(self) -> None:
         for tenant, ring in self.tenant_rate.items():
             if tenant.allowance > 0:
-                rate = sum(ring.values(self.now)) / 5.0 * self.set.servers
-                over = max(1.0, rate / (tenant.allowance * 1.3))
+                over = max(1.0, ring.size(self.now) / 5.0 * self.set.servers / (tenant.allowance * 1.3))
                 self.worth[tenant] = 1.0 / over + self.set.over_share_worth * (1.0 - 1.0 / over)
 
     def push_back(self, job: Job) -> None:
-        if not self.in_time(job):
+        if self.now >= self.fails_at(job):
             self.pushed.add(self.now, 1.0)  # not those given up early: they would keep the line standing
-        # Another try costs a read elsewhere: worth it only while others do not push back too, which the
-        # further tries that arrive here show where they are marked.
+        # Another try costs a read elsewhere: worth it only while marked tries show that others take them.
         walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
         final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
         away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
@@ -511,8 +515,7 @@
         held, here = len(p[Want.HOLD]), self.leave_at is None
         dt = (self.now - self.last) / 1000.0
         self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
-        # A slowed server reads what has long been given up: what waits unread shows it before any run ends.
-        unread = self.unread.mean(self.now, 0.0)
+        unread = self.unread.mean(self.now, 0.0)  # shows a slowed server before any run ends
         self.keeps_up = max(HEARD, 1.0 - unread / (UNREAD * self.shortest))
         self.mode("drowning", self.keeps_up < 0.3, f"unread for {unread:.0f} ms")
         self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
@@ -522,13 +525,12 @@
         elif self.set.advert is Advert.CREDIT:
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
             # By the share of the busiest caller: split evenly it would starve while others leave theirs.
-            seen = self.callers.values(self.now)
-            biggest = max((seen.count(c) for c in set(seen)), default=1) / max(1, len(seen))
+            seen = Counter(self.callers.values(self.now))
+            biggest = max(seen.values(), default=1) / max(1, seen.total())
             amount = (busy + room) * biggest * self.keeps_up * here
-        amount = round(amount, 3)
-        if amount != self.advert and self.set.advert is not Advert.NONE:
-            self.advert = amount
-            self.out.advertise(amount)
+        if round(amount, 3) != self.advert and self.set.advert is not Advert.NONE:
+            self.advert = round(amount, 3)
+            self.out.advertise(self.advert)
 
     def spare_links(self, links: float) -> None:
         """Many callers that each come seldom fill the table: it taxes the cores, and full it keeps out."""
