--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -116,7 +116,7 @@
         self.due = max(now, now + rpc.remaining if rpc.remaining is not None else self.arrived + m.deadline)
         self.target = min(self.arrived + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
         self.span = max(1.0, self.limit - self.arrived)  # the whole of its time
-        self.called_for = self.called_at = self.call_end = 0.0
+        self.called_for = self.called_at = self.call_end = self.value = 0.0
         self.tries, self.ran, self.gain = 0, False, (1.0 - m.skip_share) * m.criticality  # of a call
 
     def until(self, late_share: float) -> float:
@@ -266,7 +266,8 @@
         if self.leave_at is not None:
             job.due = max(self.now, min(job.due, self.leave_at - TICK))
         job.life = self.life(job)
-        self.values.add(self.now, self.value(job))
+        job.value = self.value(job)
+        self.values.add(self.now, job.value)
         self.do(job, next(job.life))
         if job.at is Want.HOLD and not self.may_hold(job):
             self.resume(job, News.LATE)
@@ -338,7 +339,8 @@
         for learned in self.learned.values():
             learned.refresh(self.now)
         self.move_cap(gauges)
-        self.fails = 0.0
+        for job in self.places[Want.HOLD]:
+            job.value = self.value(job)
         if self.set.below is not Below.NONE:
             self.follow_calls()
         if self.now // 1000.0 > self.last // 1000.0:
@@ -376,18 +378,19 @@
             for job in [j for j in held if self.now >= self.ends_at(j)]:
                 self.resume(job, News.LATE)
             self.fails = min(map(self.ends_at, held), default=inf)
-        while held and self.kb > self.set.memory_kb * SAFE:  # own memory: the least worth its work goes first
-            self.resume(min(held, key=self.order), News.LATE)
-        while held and self.room() >= 1.0:
-            best = max(held, key=self.order)
-            fits = self.kb + best.rpc.kb * (self.set.run_factor - 1.0) <= self.set.memory_kb * SAFE
-            if self.value(best) < self.floor or not (fits or len(held) > 1):
+        full, line = self.set.memory_kb * SAFE, []
+        if held and (self.kb > full or self.room() >= 1.0):
+            newest = 1.0 if self.pushed.size(self.now) else -1.0  # first, while a line stands
+            line = sorted(held, key=lambda j: (-j.value, -newest * j.arrived))
+        while line and self.kb > full:  # own memory: the least worth its work goes first
+            self.resume(line.pop(), News.LATE)
+        while line and self.room() >= 1.0:
+            fits = self.kb + line[0].rpc.kb * (self.set.run_factor - 1.0) <= full
+            if line[0].value < self.floor or not (fits or len(line) > 1):
                 break
             if fits:
                 self.begun.add(self.now, 1.0)
-            else:  # a full hold must not keep the cores from work
-                best = min(held, key=self.order)
-            self.resume(best, News.START if fits else News.LATE)
+            self.resume(line.pop(0 if fits else -1), News.START if fits else News.LATE)  # room is made
         if self.places[Want.LINE_UP]:
             self.place_calls()
         if (held or self.places[Want.LINE_UP]) and self.alarm > self.now + TICK:
@@ -399,13 +402,9 @@
 
     def ends_at(self, job: Job) -> float:
         # A line that stands starts only the best: the rest is told while it can still go elsewhere.
-        lost = job.arrived + GIVE_UP * job.span if self.value(job) < self.floor else inf
+        lost = job.arrived + GIVE_UP * job.span if job.value < self.floor else inf
         return min(self.fails_at(job), lost)
 
-    def order(self, job: Job) -> tuple[float, float]:
-        """Criticality over expected work; newest first while a line stands."""
-        return self.value(job), job.arrived if self.pushed.size(self.now) else -job.arrived
-
     def value(self, job: Job) -> float:
         tenant = job.rpc.tenant
         worth = job.rpc.method.criticality * (self.worth[tenant] if tenant else 1.0)
@@ -445,7 +444,7 @@
         begun, values = self.begun.size(self.now), sorted(self.values.values(self.now), reverse=True)
         late = self.pushed.size(self.now)
         stands = idle <= 0 and self.use >= BUSY and late > STANDS * len(values)
-        self.floor = values[begun] if stands and begun < len(values) else 0.0
+        self.floor, self.fails = (values[begun] if stands and begun < len(values) else 0.0), 0.0
         self.mode("choosing", self.floor > 0.0, f"of {len(values)} read {begun} begun {late} too late")
 
     # Calls below
--- a/landingshift/net/protocol/gateway.py
+++ b/landingshift/net/protocol/gateway.py
@@ -57,6 +57,11 @@
     body: bytes
 
 
+LIMITS = {
+    "max_str_len": 1024, "max_bin_len": FRAME, "max_array_len": 64, "max_map_len": 64, "max_ext_len": 0,
+}  # fmt: skip
+
+
 class Reader:
     """Keeps no parser between two pieces: one takes 40 KB, and many connections are idle."""
 
@@ -65,12 +70,15 @@
 
     def feed(self, data: bytes) -> list[Message]:
         """The whole messages so far; those before a broken one are still given out."""
+        if not self.rest:
+            try:
+                message = decode(msgpack.unpackb(data, **LIMITS))
+                return [message] if message is not None else []
+            except Exception:  # not just one whole message: what it is shows below
+                pass
         messages: list[Message] = []
         data = self.rest + data
-        unpacker = msgpack.Unpacker(
-            max_buffer_size=len(data) + 1024, read_size=1024, max_str_len=1024, max_bin_len=FRAME,
-            max_array_len=64, max_map_len=64, max_ext_len=0,
-        )  # fmt: skip
+        unpacker = msgpack.Unpacker(max_buffer_size=len(data) + 1024, read_size=1024, **LIMITS)
         end = 0
         try:
             unpacker.feed(data)
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -166,6 +166,8 @@
             if not rpc.closed:
                 self.closed(rpc)  # a defect must not keep this one from its answer
             raise
+        if rpc.closed:
+            rpc.job = None
 
     def hangup(self, rpc: Routed) -> None:
         rpc.gone = True
@@ -390,6 +392,7 @@
             rpc.original.waiting.pop(rpc, None)
             rpc.original = None
         rpc.stale.clear()
+        rpc.job = None  # no cycle: memory must not wait for the collector
         del self.by_id[rpc.rid]
         self.rpcs.drop(rpc.slot)
 
--- a/landingshift/net/transport/loop.py
+++ b/landingshift/net/transport/loop.py
@@ -32,6 +32,7 @@
 
     def __init__(self, fault: Callable[[], None]) -> None:
         self.selector = selectors.DefaultSelector()
+        self.watched: dict[int, Watcher] = {}
         self.timers: list[tuple[float, int, Timer]] = []
         self.count, self.dead = 0, 0
         self.turns = 0  # times that the sockets were read
@@ -63,14 +64,12 @@
 
     def watch(self, fd: int, mask: int, watcher: Watcher) -> None:
         """Watches for `mask`; 0 ends it."""
-        known = self.selector.get_map().get(fd)
-        if known is None:
-            if mask:
-                self.selector.register(fd, mask, watcher)
-        elif not mask:
+        known = self.watched.pop(fd, None)
+        if mask:
+            self.watched[fd] = watcher
+            (self.selector.register if known is None else self.selector.modify)(fd, mask, watcher)
+        elif known is not None:
             self.selector.unregister(fd)
-        elif known.events != mask or known.data is not watcher:
-            self.selector.modify(fd, mask, watcher)
 
     def stop(self) -> None:
         self.running = False
@@ -104,9 +103,12 @@
         self.now = self.clock()
         self.turns += 1
         for key, mask in events:
-            known = self.selector.get_map().get(key.fd)
-            if known is not None and known.data is key.data:  # not closed by a handler before it
-                self.guarded(lambda key=key, mask=mask: key.data.ready(mask))  # type: ignore[misc]
+            watcher = self.watched.get(key.fd)
+            if watcher is not None and watcher is key.data:  # not closed by a handler before it
+                try:
+                    watcher.ready(mask)
+                except Exception:
+                    self.fault()
         return bool(events)
 
     def guarded(self, step: Callable[[], None]) -> None:
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -23,6 +23,17 @@
     def ended(self, reason: str) -> None: ...  # the stream is closed
 
 
+class Nobody:
+    """The owner of a closed stream."""
+
+    def data(self, data: bytes) -> None: ...
+    def eof(self) -> None: ...
+    def ended(self, reason: str) -> None: ...
+
+
+NOBODY = Nobody()
+
+
 class Unsent:
     """What many streams together have not got rid of; past the bound `full` must let some of it go."""
 
@@ -46,9 +57,11 @@
         unsent: Unsent | None = None,
         reads: int = READS,
     ) -> None:
-        self.loop, self.sock, self.owner, self.bound, self.unsent = loop, sock, owner, bound, unsent
+        self.loop, self.sock, self.bound, self.unsent = loop, sock, bound, unsent
+        self.owner: Owner = owner
         self.reads = reads
         self.connecting, self.reading, self.open, self.reason = connecting, True, True, ""
+        self.mask = -1  # what the loop watches it for
         self.out = bytearray()
         self.queued = self.sent = 0  # bytes since the start; what is not sent has proved nothing
         self.last = loop.now  # when bytes last went either way
@@ -59,7 +72,9 @@
         mask = EVENT_READ if self.reading and not self.connecting else 0
         if self.connecting or self.out:
             mask |= EVENT_WRITE
-        self.loop.watch(self.sock.fileno(), mask, self)
+        if mask != self.mask:
+            self.mask = mask
+            self.loop.watch(self.sock.fileno(), mask, self)
 
     def ready(self, mask: int) -> None:
         if self.connecting:
@@ -162,7 +177,8 @@
             self.loop.cancel(self.timer)
             self.loop.watch(self.sock.fileno(), 0, self)
             self.sock.close()
-            self.owner.ended(self.reason or reason)  # a reset after our own close is not why it ended
+            owner, self.owner = self.owner, NOBODY  # no cycle: memory must not wait for the collector
+            owner.ended(self.reason or reason)  # a reset after our own close is not why it ended
 
 
 def connect(loop: Loop, address: Address, owner: Owner, bound: int) -> Stream | str:
