What runs on for nobody counts as running: it is no read and does not hide idle cores

Five of twelve cores ran long work whose callers had left or been answered at its deadline. At fault: brain.py room() counts those as running, move_cap() did not: what they took on the cores passed for reads (which push the cap down), and idle cores were added to too small a number, so the cap stayed at its floor and cores stood idle with 50 held. Ruled out: descriptors, the CPU of the program (0.31 of 0.85), waits unread (4 ms), the door (the same with few of them).

Change: one count of what runs, used in both places. Could hurt: where such work ends soon by itself its cores are filled a little sooner than before.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -414,17 +414,18 @@
         share = min(1.0, self.set.cold_from + (1.0 - self.set.cold_from) * age)
         return (1.0 + (self.set.crowd - 1.0) * share) * self.set.cores * SAFE
 
+    def running(self) -> int:  # what nobody waits for any more is on the cores too
+        return sum(len(self.places[want]) for want in (Want.RUN, Want.ABORT, Want.LEAVE))
+
     def room(self) -> float:
-        p = self.places
-        running = len(p[Want.RUN]) + len(p[Want.ABORT]) + len(p[Want.LEAVE])
-        # Those at a call come back to the cores unasked: all together stay under the survivable crowd.
-        at_call = len(p[Want.CALL]) + len(p[Want.LINE_UP])
+        running = self.running()  # those at a call come back unasked: all stay under the survivable crowd
+        at_call = len(self.places[Want.CALL]) + len(self.places[Want.LINE_UP])
         # Reads are not ours to stop: the cap gives way to them, below its floor too, or all crowd each other.
         cap = max(1.0, self.cap - max(0.0, self.reading - READ_CORES * self.set.cores))
         return min(cap - running, self.crowd() - running - at_call)
 
     def move_cap(self, gauges: Gauges) -> None:
-        cores, running = self.set.cores, len(self.places[Want.RUN])
+        cores, running = self.set.cores, self.running()
         self.use = gauges.core_use if gauges.core_use is not None else min(1.0, running / cores)
         self.on_cores = 0.7 * self.on_cores + 0.3 * (gauges.on_cores or 0.0)
         self.reading = 0.7 * self.reading + 0.3 * max(0.0, (gauges.on_cores or 0.0) - running)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -140,6 +140,20 @@
                 b.server.settle()
                 self.assertEqual(len(b.names("run")), runs)
 
+    def test_what_nobody_waits_for_runs_too(self) -> None:
+        # Taken for reads it would push the cap down, and idle cores would not be seen behind it.
+        b = Bench(cores=4)
+        jobs = [b.read() for _ in range(4)]
+        b.server.settle()
+        for job in jobs:
+            b.server.hangup(job)
+        held = b.read()
+        for _ in range(10):
+            b.tick(on_cores=4)
+        self.assertEqual((b.server.reading, b.fates(held)), (0.0, []))
+        b.tick(use=0.75, on_cores=3)
+        self.assertEqual(b.fates(held), ["run"])
+
     def test_only_the_best_start_while_reads_crowd_out_better_work(self) -> None:
         best = replace(METHOD, criticality=5.0)
         for on_cores, use, starts in [(4.0, 1.0, False), (0.0, 0.3, True)]:
