Strangers bring no more than 1,024 RPCs; the whole backlog is taken at the end of a drain

Found by reading, not seen in a run: RPCs of connections that proved nothing wait with their bodies until the engine denies the first of them, and their stated `kb` may be next to nothing, so the module's memory does not bound them: 448 connections times 32 RPCs of 2 KB are over 28 MB, where a server may have 32. From 1,024 RPCs in hand on only proven connections bring more; others are pushed back at once (router.py read). A gateway that connects anew in such a moment is too. Closing the listener took up to 64 connections of a backlog of 1,024 (gateways.py leave); now all. Tests: the first fails without the bound (the answer comes when the RPC's time is over); the second has none, since between two passes a test cannot fill the backlog without a race.

--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -10,7 +10,7 @@
 from landingshift.net.routing.records import Routed
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
-from landingshift.net.transport.stream import Address, Listener, Stream, Unsent
+from landingshift.net.transport.stream import ACCEPTS, BACKLOG, Address, Listener, Stream, Unsent
 
 OPEN = 32  # RPCs that a connection may have open
 BOUND = OPEN * 5000  # what a gateway that keeps to that can leave unread
@@ -218,7 +218,8 @@
             connection.rest()
 
     def leave(self) -> None:
-        self.listener.ready(0)  # what is in the backlog counts as received: closing it there would lose it
+        for _ in range(BACKLOG // ACCEPTS):  # what waits there counts as received: closing it would lose it
+            self.listener.ready(0)
         self.listener.close()
         for connection in self.table:
             connection.goaway(LEAVING)
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -30,6 +30,7 @@
 OLDEST = 120_000.0  # ms since an RPC came to the machine, at most
 AHEAD = 5_000.0  # ms by which the clock it was stamped with may be ahead
 LONGEST = 4.0  # times the deadline of its method that an RPC may wait
+MANY = 1024  # RPCs in hand from which only proven connections bring more: memory must stay bounded
 SPARE = 64  # descriptors that are not for gateways: links to the database, engine, roster, log
 KEPT_SHARE = 0.25  # of the memory, for kept results
 UNSENT_SHARE = 0.25  # of the memory, for answers that gateways do not read
@@ -131,7 +132,7 @@
                 self.report("bad_rpc", field=str(err), method=call.method)
             connection.turn_down(call.number, str(err), wire.pushed_back(call.number, self.told))
             return
-        if self.server is None:
+        if self.server is None or (not connection.proven and len(self.by_id) >= MANY):
             connection.answer(call.number, wire.pushed_back(call.number, self.told))
             return
         tokened = method.effect is Effect.TOKENED
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -12,6 +12,8 @@
 
 CHUNK = 16384
 READS = 8  # chunks taken from one stream before the others have their turn
+BACKLOG = 1024  # connections that may wait to be accepted
+ACCEPTS = 64  # accepted in a row
 LINGER = 1000.0  # ms that the other side has to close after we have
 PAUSE = 20.0  # ms without accepting after the descriptors ran out
 Address = tuple[str, int]
@@ -211,12 +213,12 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
         self.sock.bind(address)
-        self.sock.listen(1024)
+        self.sock.listen(BACKLOG)
         self.address: Address = self.sock.getsockname()
         loop.watch(self.sock.fileno(), EVENT_READ, self)
 
     def ready(self, _mask: int) -> None:
-        for _ in range(64):
+        for _ in range(ACCEPTS):
             if not self.room(True):
                 self.rest()
                 return
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -473,6 +473,23 @@
         g.send(b"\x94\x00\x01")  # half a message, even from one that is known
         self.assertTrue(g.closes())
 
+    def test_strangers_bring_no_more_than_so_many(self) -> None:
+        # Their RPCs wait with their bodies: those of hundreds of connections would fill the memory.
+        w = World(self, limits={"sockets": 200}, settings__extra__n_cores=1)
+        known = Gateway(w)
+        prove(w, known)
+        crowd = [Gateway(w) for _ in range(40)]
+        for one in crowd:
+            for _ in range(32):
+                one.rpc(wait="9000", kb="0.001")
+        start = time.monotonic()
+        self.assertEqual(crowd[-1].answer(), (1, "Busy"))
+        self.assertLess(time.monotonic() - start, 1.0)  # at once, not when its time is over
+        n = known.rpc(wait="250")  # held
+        start = time.monotonic()
+        self.assertEqual(known.answer(), (n, "Busy"))
+        self.assertGreater(time.monotonic() - start, 0.1)
+
     def test_an_rpc_that_the_engine_does_not_know_ends_its_connection(self) -> None:
         w = World(self, settings__extra__n_cores=1)
         g, bad = Gateway(w), Gateway(w)
