No more calls out than come back in a bearable time: a store that turns slow is not filled

As the store turns slow, calls out rise from 3 to 25 and 35 within half a second, before any has run out of its 300 ms; then nearly all do (96 on one server), which fills its share of the store for five seconds (48,000 of 49,555) while its cores idle (use 0.6, nothing held). Later the rate grows far past what is called (237 a second, 42 called), which bounds nothing, and the next collapse follows. At fault: brain.py may_call had no bound on calls out; follow_calls let the rate grow without regard to what is called.

Change: no more calls out than the last second's number times 0.4 of the shortest target (Little's law; at least six): others line up, and are left out as before when that takes too long. While calls are slow the rate stops at twice what is called. Could hurt: after a quiet second a burst of calls starts six at a time.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -249,8 +249,6 @@
     def weigh(self, job: Job) -> float:
         return job.rpc.kb * (1.0 if job.at in (Want.HOLD, Want.JOIN) else self.set.run_factor)
 
-    # Events
-
     def read(self, rpc: Rpc) -> Job:
         job = Job(rpc, self.learned[rpc.method], self.now)
         if rpc.tenant is not None:
@@ -446,14 +444,11 @@
         self.floor, self.fails = (values[begun] if stands and begun < len(values) else 0.0), 0.0
         self.mode("choosing", self.floor > 0.0, f"of {len(values)} read {begun} begun {late} too late")
 
-    # Calls below
-
     def allow(self, job: Job) -> float:
         # What hangs below or is lost on the way must leave time to call again, or to do without.
         return min(0.8 * (job.limit - self.now), max(300.0, 6.0 * self.call_times.mean(self.now, 100.0)))
 
     def follow_calls(self) -> None:
-        """The pace of calls follows their recent time: crowding below shows there first."""
         recent = self.call_recent.values(self.now)
         good = [v for v in recent if v >= 0.0]
         base = self.call_times.lowest(self.now, 0.0)
@@ -463,7 +458,8 @@
         if len(recent) >= 6 and (len(good) < 0.75 * len(recent) or (slow and mean > SLOW * self.shortest)):
             self.rate = max(1.0, min(self.rate, len(recent)) * (1.0 - 0.5 * dt))
         else:
-            self.rate = inf if self.rate > 2.0 * len(recent) + 10.0 and not slow else self.rate * (1.0 + dt)
+            enough = self.rate > 2.0 * len(recent) + 10.0
+            self.rate = self.rate * (1.0 + dt) if not enough else self.rate if slow else inf
         self.tokens = min(self.tokens + self.rate * dt, max(1.0, 0.2 * self.rate)) if dt else self.tokens
         self.mode("paced calls", self.rate < inf, f"mean {mean:.0f} base {base:.0f} ms")
 
@@ -471,7 +467,9 @@
         self.call_load.add(self.now, self.now - job.called_at + self.set.linger * lost)
 
     def may_call(self, job: Job) -> bool:
-        if self.tokens < 1.0:
+        # More out than come back at a bearable time (Little's law) only wait below until they are given up.
+        most = max(6.0, self.call_recent.size(self.now) * SLOW * self.shortest / 1000.0)
+        if self.tokens < 1.0 or len(self.places[Want.CALL]) >= most:
             return False
         if self.set.below is Below.SHARED and self.set.calls_out > 0:
             # The shared store falls: what was in hand and what calls out may still take stay in our share.
