--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,9 @@
 build:
 	sh -c "$$(sed -n 's/^build = "\(.*\)"/\1/p' deploy/balancer.toml)"
 
-.ci-venv/done: requirements.txt requirements-dev.txt
+.ci-venv/done: pyproject.toml
 	$(PYTHON) -m venv .ci-venv
-	$(TOOLS)/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
+	$(TOOLS)/pip -q install --disable-pip-version-check -e .[dev]
 	touch $@
 
 test: .ci-venv/done
@@ -19,6 +19,7 @@
 	$(TOOLS)/ruff check .
 	$(TOOLS)/ruff format --check .
 	$(TOOLS)/mypy
+	$(TOOLS)/lint-imports --no-cache
 
 # Needs GW_CONFIG to name a configuration file; README.md shows one.
 run: build
--- a/landingshift/__main__.py
+++ b/landingshift/__main__.py
@@ -1,10 +1,16 @@
-"""One real server; its configuration is the file that GW_CONFIG names."""
+"""One real server; its configuration is the file that GW_CONFIG names. With arguments, the operators'
+commands."""
 
 import signal
 import sys
 
-signal.signal(signal.SIGHUP, signal.SIG_IGN)  # by default it ends a program that is still being loaded
+if len(sys.argv) > 1:
+    from landingshift.cli.main import main as commands
 
-from landingshift.net.program.main import main  # noqa: E402
+    commands()
+else:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # by default it ends a program that is still being loaded
 
-sys.exit(main())
+    from landingshift.net.program.main import main
+
+    sys.exit(main())
--- /dev/null
+++ b/landingshift/ledger/service.py
@@ -0,0 +1,320 @@
+"""The ledger at the server: ok answers pass here, uses go to the store's process, what became of them
+follows.
+
+A use is *sent* once the gateway's machine has acknowledged the whole answer, *void* where the answer never
+left whole, and *disputed* where the connection broke in between.
+"""
+
+from __future__ import annotations
+
+import os
+import select
+import time
+from collections import deque
+from dataclasses import dataclass
+from fcntl import ioctl
+from termios import TIOCOUTQ
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from landingshift import points
+from landingshift.ledger.entries import Raw, Word, identity
+from landingshift.ledger.outbox import Outbox
+from landingshift.ledger.settings import Settings
+from landingshift.net.transport.loop import Timer
+from landingshift.net.transport.stream import Stream
+from landingshift.net.transport.worker import Worker
+
+if TYPE_CHECKING:
+    from landingshift.interface import Outcome
+    from landingshift.net.program.features import Host
+    from landingshift.net.routing.records import Routed
+
+AHEAD = 4  # batches on their way: more would only wait in the socket
+START = 10_000.0  # ms that the store's process has to open the store, besides the wait for its lock
+EARLY = 15.0  # ms before its deadline that an ok answer goes out whatever the store does
+FINISH = 400.0  # ms that the end of the server waits for the last commit
+PAUSES = (50.0, 200.0, 1000.0, 5000.0)  # ms between two starts of the store's process
+SENDS = 60_000.0  # ms that an answer may be on its way before nobody knows
+GOOD_ENDS = ("closed_by_gateway", "goaway")  # the gateway read all before the connection ended
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """An ok answer and its use."""
+
+    rpc: Routed
+    result: bytes
+    due: float
+    raw: Raw
+    passed: bool = False
+    stream: Stream | None = None  # once it is answered
+    end: int = 0  # where the answer ends in the stream
+    gone: float = 0.0  # when it was given to the stream
+
+
+class Ledger:
+    name = "ledger"
+
+    def __init__(self, host: Host, settings: Settings) -> None:
+        self.router, self.loop, self.log = host.router, host.router.loop, host.log
+        self.settings = settings
+        self.before = settings.durable == "before_answer"
+        self.run = os.urandom(8)
+        self.outbox = Outbox(settings.queue_kb * 1024)
+        self.held: dict[int, Held] = {}  # by use, not durable yet or not passed yet
+        self.by_rpc: dict[Routed, Held] = {}  # until answered
+        self.leaving: deque[Held] = deque()  # answered, not known to have arrived
+        self.soonest = float("inf")  # no held answer is due before this
+        self.tick_timer: Timer | None = None
+        self.decode = msgspec.msgpack.Decoder(Word).decode
+        self.encode = msgspec.msgpack.Encoder().encode
+        self.starts = self.early = self.dropped = 0
+        self.ready = self.finishing = False
+        self.stuck = False
+        self.fault = ""
+        self.worker: Worker | None = None
+        self.start()
+
+    # The store's process
+
+    def start(self) -> None:
+        settings = self.settings
+        words = [msgspec.json.encode(settings).decode(), self.run.hex()]
+        self.starts += 1
+        try:
+            self.worker = Worker(
+                self.loop, "landingshift.ledger.worker", words, self, settings.queue_kb * 2048
+            )
+        except OSError as err:
+            self.died(str(err))
+
+    def wait_for_start(self) -> None:
+        """Before the first RPC is read: a store that can't be used must keep the server from starting."""
+        end = time.monotonic() + (START + self.settings.lock_wait_ms) / 1000.0
+        while not self.ready and not self.fault and time.monotonic() < end:
+            if self.worker is None or not self.worker.stream.open:
+                break
+            if select.select([self.worker.stream.sock], [], [], 0.1)[0]:
+                self.worker.stream.read()
+        if not self.ready:
+            raise ValueError(f"folder: {self.fault or 'the process that keeps the store did not start'}")
+
+    def heard(self, message: bytes) -> None:
+        word = self.decode(message)
+        if word.fault:
+            if word.fault != self.fault:
+                self.log("ledger_fault", error=word.fault, waiting=len(self.held), starts=self.starts)
+            self.fault = word.fault
+            return
+        if self.fault:
+            self.log("ledger_well", after=self.fault, waiting=len(self.held))
+            self.fault = ""
+        first = not self.ready
+        self.ready = True
+        self.durable(word.acked)
+        if first and self.worker is not None:
+            for batch in self.outbox.again():
+                self.worker.say(self.encode(batch))
+        self.push()
+
+    def died(self, reason: str) -> None:
+        self.ready = False
+        if self.finishing:
+            return
+        pause = PAUSES[min(self.starts, len(PAUSES)) - 1]
+        self.log("ledger_store_gone", reason=reason, waiting=len(self.held), starts=self.starts, pause=pause)
+        self.loop.after(pause, self.restart)
+
+    def restart(self) -> None:
+        if self.worker is not None and not self.worker.gone():
+            self.loop.after(PAUSES[0], self.restart)  # it finishes what it has read and holds the lock
+        else:
+            self.start()
+
+    # Ok answers
+
+    def hold(self, rpc: Routed, result: bytes, work: float) -> bool:
+        assert rpc.job is not None
+        raw = self.use(rpc, result, work)
+        if not self.outbox.add(raw):
+            return self.without(rpc, result)
+        held = Held(rpc, result, rpc.job.due - EARLY, raw)
+        self.held[raw.n] = self.by_rpc[rpc] = held
+        self.arm()
+        if self.before:
+            self.soonest = min(self.soonest, held.due)
+        else:
+            held.passed = True
+        return self.before
+
+    def use(self, rpc: Routed, result: bytes, work: float) -> Raw:
+        s = self.settings
+        tenant = rpc.tenant_name.encode(errors="surrogatepass")
+        mark = rpc.mark
+        if not mark and rpc.subject is not None and (s.identity_key or not rpc.keyed):
+            mark = rpc.subject[1]  # a token; a read's key says what it is about, not which try it is
+        what = mark.encode(errors="surrogatepass") if mark else rpc.body
+        known = identity(tenant, rpc.name, bool(mark), what)
+        at = round(time.time() * 1000.0)
+        return Raw(0, at, tenant, rpc.name, round(work * 1000.0), len(rpc.body), len(result), known)
+
+    def without(self, rpc: Routed, result: bytes) -> bool:
+        """No room for its use: as the installation chose, it goes unbilled and counted, or is aborted."""
+        self.dropped += 1
+        self.mode(True)
+        if self.settings.stuck == "abort":
+            self.router.refuse_ok(rpc)
+            return True
+        return False
+
+    def durable(self, number: int) -> None:
+        for raw in self.outbox.ack(number):
+            held = self.held.pop(raw.n, None)
+            if held is not None and not held.passed:
+                self.let_go(held)
+        if self.stuck and self.outbox.bytes < self.outbox.bound // 2 and not self.fault:
+            self.mode(False)
+
+    def let_go(self, held: Held) -> None:
+        held.passed = True
+        points.reach("ledger.answering")
+        self.router.pass_on(held.rpc, held.result)
+        held.result = b""
+        self.unless_answered(held)
+
+    def unless_answered(self, held: Held) -> None:
+        if self.by_rpc.pop(held.rpc, None) is not None:  # nobody waited any more: no use
+            self.outbox.settle(self.outbox.void, held.raw.n)
+
+    def answered(self, rpc: Routed, how: str) -> None:
+        held = self.by_rpc.pop(rpc, None) if how == "ok" else None
+        if held is None:
+            return
+        connection = self.router.gateways.table.get(rpc.connection)
+        assert connection is not None
+        held.stream, held.end, held.gone = connection.stream, connection.stream.queued, self.loop.now
+        self.leaving.append(held)
+        self.arm()
+
+    # Every few ms while there is anything to do
+
+    def arm(self) -> None:
+        if self.tick_timer is None:
+            self.tick_timer = self.loop.after(self.settings.commit_ms, self.tick)
+
+    def tick(self) -> None:
+        self.tick_timer = None
+        if not self.before:
+            for held in [h for h in self.by_rpc.values() if h.passed]:
+                self.unless_answered(held)
+        if self.loop.now >= self.soonest:
+            self.answer_late_ones()
+        self.follow()
+        self.push()
+        if not self.outbox.empty or self.leaving or self.by_rpc:
+            self.arm()
+
+    def push(self) -> None:
+        worker = self.worker
+        while self.ready and worker is not None and worker.room() > 0:
+            batch = self.outbox.cut(AHEAD)
+            if batch is None:
+                return
+            points.reach("ledger.push")
+            worker.say(self.encode(batch))
+
+    def answer_late_ones(self) -> None:
+        """No RPC lost: the deadline does not wait for a disk."""
+        now, left = self.loop.now, float("inf")
+        for held in [h for h in self.held.values() if not h.passed]:
+            if now < held.due:
+                left = min(left, held.due)
+                continue
+            self.early += 1
+            self.mode(True)
+            if self.settings.stuck == "abort":
+                held.passed = True
+                self.router.refuse_ok(held.rpc)
+                self.unless_answered(held)
+            else:
+                self.let_go(held)
+        self.soonest = left
+
+    def follow(self) -> None:
+        """Finds out what became of answers that were given to their connections."""
+        waits: deque[Held] = deque()
+        unsent: dict[Stream, int] = {}
+        for held in self.leaving:
+            stream = held.stream
+            assert stream is not None
+            out = self.outbox
+            if not stream.open:
+                whole = stream.sent >= held.end
+                to = out.void if not whole else out.sent if stream.reason in GOOD_ENDS else out.disputed
+            elif stream.sent < held.end:
+                waits.append(held)
+                continue
+            else:
+                if stream not in unsent:
+                    unsent[stream] = int.from_bytes(ioctl(stream.sock, TIOCOUTQ, bytes(4)), "little")
+                # Acknowledged up to here: what the kernel still has is the end of what was sent.
+                if stream.sent - unsent[stream] < held.end:
+                    if self.loop.now - held.gone < SENDS:
+                        waits.append(held)
+                        continue
+                    to = out.disputed
+                else:
+                    to = out.sent
+            out.settle(to, held.raw.n)
+        self.leaving = waits
+
+    def mode(self, on: bool) -> None:
+        if self.stuck != on:
+            self.stuck = on
+            self.log(
+                "mode",
+                text=f"ledger {'behind' if on else 'level'}: {self.outbox.bytes // 1024} KB wait, "
+                f"{self.early} answered before durable, {self.dropped} dropped",
+            )
+
+    def finish(self) -> None:
+        """The last commit: all connections are gone, so what became of each answer is known."""
+        self.finishing = True
+        self.follow()
+        for held in self.leaving:
+            self.outbox.settle(self.outbox.disputed, held.raw.n)
+        self.leaving.clear()
+        end = time.monotonic() + FINISH / 1000.0
+        worker = self.worker
+        if worker is None:
+            return
+        while not self.outbox.empty and worker.stream.open and time.monotonic() < end:
+            self.push()
+            worker.stream.flush()
+            if select.select([worker.stream.sock], [], [], 0.02)[0]:
+                worker.stream.read()
+        if worker.stream.open:
+            worker.stream.close("finished")
+        self.log("ledger_finished", owed=len(self.outbox.unacked), uses=self.outbox.n, dropped=self.dropped)
+
+    # The other stages say nothing about use
+
+    def read(self, rpc: Routed) -> None: ...
+    def started(self, rpc: Routed) -> None: ...
+    def called(self, rpc: Routed, outcome: Outcome, took: float) -> None: ...
+    def closed(self, rpc: Routed) -> None: ...
+
+
+def attach(host: Host, settings: Settings) -> Ledger:
+    """Raises ValueError("folder: ...") where the store can't be used."""
+    ledger = Ledger(host, settings)
+    ledger.wait_for_start()
+    host.router.mark = settings.identity_field
+    host.router.gate = ledger
+    host.router.taps.add(ledger)
+    return ledger
+
+
+__all__ = ["Ledger", "attach"]
--- /dev/null
+++ b/landingshift/net/program/features.py
@@ -0,0 +1,96 @@
+"""Our own settings: one TOML file, one table a subsystem; what it does not name stays off and unloaded.
+
+A room that can be switched on has a module `settings` with the struct `Settings` (msgspec, unknown keys
+refused) and `check(settings, folder)`, which raises `ValueError("key: what is wrong")`, and a module
+`service` with `attach(host, settings) -> Service`.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass
+from importlib import import_module
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from landingshift.net.routing.router import Router
+
+ROOMS = {"ledger": "landingshift.ledger"}  # table of the file, package
+ENV = "LANDINGSHIFT_TOML"
+
+
+class BadFeature(Exception):
+    """The text names file, table and key."""
+
+
+class Service(Protocol):
+    def finish(self) -> None:
+        """Called once the loop has ended; may block for a moment, no longer than the process has left."""
+
+
+@dataclass(slots=True)
+class Host:
+    """What a service is given to wire itself to the loop."""
+
+    router: Router
+    log: Callable[..., None]
+
+
+@dataclass(slots=True)
+class Feature:
+    room: str
+    settings: Any
+
+    def attach(self, host: Host) -> Service:
+        try:
+            service: Service = import_module(f"{ROOMS[self.room]}.service").attach(host, self.settings)
+        except ValueError as err:
+            raise BadFeature(f"[{self.room}] {err}") from err
+        return service
+
+
+def decode(data: dict[str, Any], path: str) -> list[Feature]:
+    import msgspec
+
+    features = []
+    for table, values in data.items():
+        if table not in ROOMS:
+            raise BadFeature(f"{path}: [{table}]: no such table; there is {', '.join(ROOMS)}")
+        if not isinstance(values, dict):
+            raise BadFeature(f"{path}: {table}: a table is expected")
+        room = import_module(f"{ROOMS[table]}.settings")
+        try:
+            settings = msgspec.convert(values, room.Settings)
+            room.check(settings, os.path.dirname(os.path.abspath(path)))
+        except msgspec.ValidationError as err:
+            raise BadFeature(f"{path}: [{table}] {told(str(err))}") from err
+        except ValueError as err:
+            raise BadFeature(f"{path}: [{table}] {err}") from err
+        if settings.on:
+            features.append(Feature(table, settings))
+    return features
+
+
+def told(text: str) -> str:
+    """msgspec says `what - at `$.key``, or names an unknown key in the text: the key comes first here."""
+    what, _, where = text.partition(" - at `$.")
+    if where:
+        return f"{where.rstrip('`')}: {what}"
+    if "unknown field" in what or "missing required field" in what:
+        return f"{what.split('`')[1]}: {what}"
+    return what
+
+
+def load(path: str | None) -> list[Feature]:
+    if not path:
+        return []
+    try:
+        with open(path, "rb") as file:
+            data = tomllib.load(file)
+    except OSError as err:
+        raise BadFeature(f"{path}: {err.strerror}") from err
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as err:
+        raise BadFeature(f"{path}: {err}") from err
+    return decode(data, path)
--- a/landingshift/net/program/main.py
+++ b/landingshift/net/program/main.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from selectors import EVENT_READ
 
+from landingshift.net.program import features
 from landingshift.net.program.config import BadConfig, load
 from landingshift.net.program.log import Log
 from landingshift.net.routing.router import Router
@@ -44,13 +45,15 @@
         router.move(site)
 
 
-def main() -> int:
+def main(toml: str | None = None) -> int:
+    """Serves until told to leave; exit status 2 for settings that can't be used. `toml`: our own settings."""
     log = Log(sys.stdout.fileno())
     loop = Loop(lambda: log("fault", trace=traceback.format_exc(limit=-6)))
     signals = Signals(loop)
     try:
         site = load(os.environ)
-    except BadConfig as err:
+        switched_on = features.load(toml or os.environ.get(features.ENV))
+    except (BadConfig, features.BadFeature) as err:
         sys.stderr.write(f"landingshift: {err}\n")
         return 2
     try:
@@ -58,6 +61,11 @@
     except OSError as err:
         sys.stderr.write(f"landingshift: listen: {site.listen[0]}:{site.listen[1]}: {err.strerror}\n")
         return 2
+    try:
+        services = [feature.attach(features.Host(router, log)) for feature in switched_on]
+    except features.BadFeature as err:
+        sys.stderr.write(f"landingshift: {err}\n")
+        return 2
     signals.heard = lambda number: reload(router, log) if number == signal.SIGHUP else router.drain()
     # What is there now stays: collections need not look at it again, and are short.
     gc.collect()
@@ -65,6 +73,8 @@
     gc.set_threshold(20_000, 20, 50)
     log("started", name=site.name, listen=router.gateways.listener.address, cold=site.settings.cold)
     loop.run()
+    for service in services:
+        service.finish()
     log("stopped", connections=len(router.gateways.table))
     signals.seen.close()
     return 0
--- a/landingshift/net/protocol/gateway.py
+++ b/landingshift/net/protocol/gateway.py
@@ -55,6 +55,7 @@
     hint: float | None
     retry: bool
     body: bytes
+    mark: str | None = None  # of the client's try, where the installation names a field for it
 
 
 LIMITS = {
@@ -122,7 +123,7 @@
     return value or None
 
 
-def fields(params: list[Any]) -> Fields:
+def fields(params: list[Any], mark: str = "") -> Fields:
     match params:
         case [dict(told), bytes(body)]:
             pass
@@ -145,6 +146,7 @@
         hint=number(told, "cost", 0.0, 1e9) if "cost" in told else None,
         retry=told.get("retry") == "1",
         body=body,
+        mark=text(told, mark) if mark else None,
     )
 
 
--- a/landingshift/net/routing/kept.py
+++ b/landingshift/net/routing/kept.py
@@ -16,6 +16,7 @@
     until: float
     outcome: Outcome | None = None  # None while its owner is held or runs
     ended: float = 0.0
+    work: float = 0.0  # ms that the run took
     result: bytes | None = None
     waiting: dict[Routed, None] = field(default_factory=dict)
 
--- a/landingshift/net/routing/records.py
+++ b/landingshift/net/routing/records.py
@@ -22,9 +22,12 @@
     connection: int  # slot of the connection it came on
     number: int  # its message there
     subject: tuple[bytes, str] | None  # what a repeat of it shares with it
+    tenant_name: str = ""
+    mark: str | None = None  # of the client's try, where the installation names a field for it
     slot: int = -1
     job: Job | None = None
     answered: bool = False
+    passing: bool = False  # its ok answer is at the gate
     gone: bool = False  # nobody waits any more
     closed: bool = False  # the module will not speak of it again
     command: Command | None = None  # for the engine, not known to have arrived
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -17,6 +18,7 @@
 from landingshift.net.routing.health import Health
 from landingshift.net.routing.kept import Entry, Kept
 from landingshift.net.routing.records import Routed
+from landingshift.net.routing.taps import Gate, Taps
 from landingshift.net.transport.datagram import Datagrams
 from landingshift.net.transport.loop import Loop, Timer
 from landingshift.net.transport.slots import Slots
@@ -82,6 +84,9 @@
         self.engine = Engine(loop, site.engine, self, report)
         self.health_state = Health(loop, site.name, Datagrams(site.roster), self.engine, site.deep_checks)
         self.draining = False
+        self.taps = Taps(report)
+        self.mark = ""  # the field that names a client's try, where there is one
+        self.gate: Gate | None = None  # where ok answers pass before they go out
         loop.settle = self.settle
 
     # The pass
@@ -114,7 +119,7 @@
             method = st.methods.get(call.method)
             if method is None:
                 raise wire.BadField("method")
-            f = wire.fields(call.params)
+            f = wire.fields(call.params, self.mark)
             tenant = st.tenants.get(f.tenant)
             if tenant is None and st.tenants:
                 raise wire.BadField("tenant")
@@ -155,12 +160,15 @@
             connection=connection.slot,
             number=call.number,
             subject=(call.method.encode(), same) if same else None,
+            tenant_name=f.tenant,
+            mark=f.mark,
         )
         rpc.original = self.kept.find(rpc, self.loop.now)
         rpc.repeat = rpc.original is not None
         rpc.slot = self.rpcs.put(rpc)
         self.by_id[rpc.rid] = rpc.slot
         connection.rpcs[call.number] = rpc
+        self.taps.tell("read", rpc)
         try:
             rpc.job = self.stir().read(rpc)
         except Exception:
@@ -206,11 +214,12 @@
         self.database.give_up(rpc)
         entry = self.kept.owned(rpc)
         if done.outcome is Outcome.OK:
-            self.answer(rpc, wire.ok(rpc.number, done.result, self.told))
+            self.ok(rpc, done.result, done.elapsed)
         else:
-            self.answer(rpc, wire.aborted(rpc.number, self.told))
+            self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         self.stir().ended(rpc.job, done.outcome, done.elapsed)
         if entry is not None:
+            entry.work = done.elapsed
             self.end_kept(entry, done.outcome, done.result)
 
     def need(self, need: engine_wire.Need) -> None:
@@ -248,6 +257,7 @@
         self.todo.append(lambda: self.call_over(rpc, outcome, took, reply))
 
     def call_over(self, rpc: Routed, outcome: Outcome, took: float, reply: bytes) -> None:
+        self.taps.tell("called", rpc, outcome, took)
         if rpc.closed or rpc.job is None or rpc.answered or rpc.gone:
             return
         if outcome is Outcome.OK:
@@ -309,15 +319,37 @@
 
     # What the module asks for
 
-    def answer(self, rpc: Routed, data: bytes) -> None:
-        """One final answer, whatever is said later."""
+    def answer(self, rpc: Routed, data: bytes, how: str) -> None:
+        """One final answer, whatever is said later; `how` is ok, pushed_back or aborted."""
         connection = self.gateways.table.get(rpc.connection)
         if not rpc.answered and not rpc.gone and connection is not None:
             connection.answer(rpc.number, data)
+            self.taps.tell("answered", rpc, how)
         rpc.answered = True
 
+    def ok(self, rpc: Routed, result: bytes, work: float) -> None:
+        """`work` in ms, as the engine tells it; the gate, where there is one, may let the answer go later."""
+        if self.gate is not None and not rpc.answered and not rpc.gone:
+            try:
+                rpc.passing = self.gate.hold(rpc, result, work)
+            except Exception:  # a gate that breaks must not keep answers
+                self.report("gate_cut_off", trace=traceback.format_exc(limit=-6))
+                self.gate, rpc.passing = None, False
+        if not rpc.passing:
+            self.pass_on(rpc, result)
+
+    def pass_on(self, rpc: Routed, result: bytes) -> None:
+        rpc.passing = False
+        self.answer(rpc, wire.ok(rpc.number, result, self.told), "ok")
+
+    def refuse_ok(self, rpc: Routed) -> None:
+        """The gate's word that an ok answer may not go."""
+        rpc.passing = False
+        self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
+
     def run(self, rpc: Rpc) -> None:
         assert isinstance(rpc, Routed)
+        self.taps.tell("started", rpc)
         self.engine.say(rpc, engine_wire.run(rpc.rid, rpc.name, rpc.body), True)
 
     def stop(self, rpc: Rpc) -> None:
@@ -333,11 +365,11 @@
                 told["after"] = f"{hold_off:.0f}"
             if final:
                 told["last"] = "1"
-        self.answer(rpc, wire.pushed_back(rpc.number, told))
+        self.answer(rpc, wire.pushed_back(rpc.number, told), "pushed_back")
 
     def abort(self, rpc: Rpc) -> None:
         assert isinstance(rpc, Routed)
-        self.answer(rpc, wire.aborted(rpc.number, self.told))
+        self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         self.engine.answered(rpc)
         self.database.give_up(rpc)
 
@@ -379,15 +411,15 @@
             return
         good = entry.outcome is Outcome.OK and entry.result is not None
         if good:
-            self.answer(rpc, wire.ok(rpc.number, entry.result or b"", self.told))
+            self.ok(rpc, entry.result or b"", entry.work)
         else:
-            self.answer(rpc, wire.aborted(rpc.number, self.told))
+            self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         self.stir().ended(rpc.job, Outcome.OK if good else Outcome.ABORTED, 0.0)
 
     def closed(self, rpc: Rpc) -> None:
         assert isinstance(rpc, Routed)
-        if not rpc.answered and not rpc.gone:  # nothing that was read may end without an answer
-            self.answer(rpc, wire.aborted(rpc.number, self.told))
+        if not rpc.answered and not rpc.gone and not rpc.passing:  # nothing read may end without an answer
+            self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         rpc.closed = True
         if rpc.original is not None:
             rpc.original.waiting.pop(rpc, None)
@@ -396,6 +428,7 @@
         rpc.job = None  # no cycle: memory must not wait for the collector
         del self.by_id[rpc.rid]
         self.rpcs.drop(rpc.slot)
+        self.taps.tell("closed", rpc)
 
     def health(self, good: bool, cheap: bool) -> None:
         self.health_state.set(good, cheap)
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -180,7 +180,8 @@
             self.loop.watch(self.sock.fileno(), 0, self)
             self.sock.close()
             owner, self.owner = self.owner, NOBODY  # no cycle: memory must not wait for the collector
-            owner.ended(self.reason or reason)  # a reset after our own close is not why it ended
+            self.reason = self.reason or reason
+            owner.ended(self.reason)  # a reset after our own close is not why it ended
 
 
 def connect(loop: Loop, address: Address, owner: Owner, bound: int) -> Stream | str:
--- /dev/null
+++ b/landingshift/net/transport/worker.py
@@ -0,0 +1,109 @@
+"""Work off the loop: a process of our own behind a bounded queue, one end of a socket pair on the loop.
+
+The loop never waits for it. What the owner does while the queue is full or the process is gone is the owner's
+rule; `room` tells before anything is written. Frames are four bytes of length and as many of message.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from typing import Protocol
+
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.stream import Stream
+
+BIGGEST = 16 << 20  # bytes of one frame
+FD = "LANDINGSHIFT_WORKER_FD"  # where the process finds its end of the pair
+
+
+class BadFrame(Exception):
+    """A length past the bound: the two sides disagree."""
+
+
+class Frames:
+    """Bytes to whole frames."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        self.buffer += data
+        at = 0
+        try:
+            while len(self.buffer) >= at + 4:
+                size = int.from_bytes(self.buffer[at : at + 4], "big")
+                if size > BIGGEST:
+                    raise BadFrame(size)
+                if len(self.buffer) < at + 4 + size:
+                    return
+                yield bytes(self.buffer[at + 4 : at + 4 + size])
+                at += 4 + size
+        finally:
+            del self.buffer[:at]
+
+
+def frame(message: bytes) -> bytes:
+    return len(message).to_bytes(4, "big") + message
+
+
+class Owner(Protocol):
+    def heard(self, message: bytes) -> None: ...
+    def died(self, reason: str) -> None: ...  # the process is gone or its end of the pair is closed
+
+
+class Worker:
+    """`module` is run by this interpreter; it takes its end with `inherited()`."""
+
+    def __init__(self, loop: Loop, module: str, args: list[str], owner: Owner, bound: int) -> None:
+        self.owner, self.bound = owner, bound
+        ours, theirs = socket.socketpair()
+        fd = theirs.fileno()
+        try:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", module, *args],
+                env=os.environ | {FD: str(fd)},
+                pass_fds=[fd],
+                stdin=subprocess.DEVNULL,
+            )
+        except OSError:
+            ours.close()
+            raise
+        finally:
+            theirs.close()
+        ours.setblocking(False)
+        self.frames = Frames()
+        self.stream = Stream(loop, ours, self, bound)
+
+    def room(self) -> int:
+        """Bytes that may still be queued."""
+        return self.bound - len(self.stream.out) if self.stream.open else 0
+
+    def say(self, message: bytes) -> None:
+        self.stream.write(frame(message))
+
+    def data(self, data: bytes) -> None:
+        try:
+            for message in self.frames.feed(data):
+                self.owner.heard(message)
+        except BadFrame:
+            self.stream.close("bad_frame")
+
+    def eof(self) -> None:
+        self.stream.close("closed")
+
+    def ended(self, reason: str) -> None:
+        # Its end of the pair shows EOF now, on which it finishes what it has and goes.
+        self.owner.died(reason)
+
+    def gone(self) -> bool:
+        """Whether the process has ended; takes its exit status, so that no zombie stays."""
+        return self.process.poll() is not None
+
+
+def inherited() -> socket.socket:
+    """The process's own end of the pair."""
+    return socket.socket(fileno=int(os.environ.pop(FD)))
--- /dev/null
+++ b/landingshift/points.py
@@ -0,0 +1,48 @@
+"""Named points at which a test may end the process, to see what its successor finds.
+
+`LANDINGSHIFT_CRASH=name` or `name:3` (the third time) kills the process there; `LANDINGSHIFT_SLOW=name:200`
+waits so many ms each time. With `LANDINGSHIFT_CRASH_ONCE=path` only the first process that gets there dies,
+and leaves the file. Unset, `reach` looks at two empty values.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+
+crash, _, _times = os.environ.get("LANDINGSHIFT_CRASH", "").partition(":")
+left = int(_times or 1)
+mark = os.environ.get("LANDINGSHIFT_CRASH_ONCE", "")
+slow, _, _ms = os.environ.get("LANDINGSHIFT_SLOW", "").partition(":")
+pause = float(_ms or 0.0) / 1000.0
+
+
+class Crash(BaseException):
+    """Raised in place of a kill by tests that walk through the points within one process."""
+
+
+inside = False  # set by such tests: raise, do not kill
+
+
+def arm(name: str, times: int = 1) -> None:
+    """Raises `Crash` at the point of this name the `times`-th time; an empty name disarms."""
+    global crash, left, inside
+    crash, left, inside = name, times, True
+
+
+def reach(name: str) -> None:
+    global left
+    if name == slow:
+        time.sleep(pause)
+    if name == crash:
+        left -= 1
+        if left == 0:
+            if inside:
+                raise Crash(name)
+            if mark:
+                try:
+                    os.close(os.open(mark, os.O_CREAT | os.O_EXCL))
+                except FileExistsError:
+                    return
+            os.kill(os.getpid(), signal.SIGKILL)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -214,13 +214,29 @@
     """The program started with stand-ins for all it talks to."""
 
     def __init__(
-        self, case: unittest.TestCase, limits: Any = None, engine: bool = True, **change: Any
+        self,
+        case: unittest.TestCase,
+        limits: Any = None,
+        engine: bool = True,
+        toml: str = "",
+        env: dict[str, str] | None = None,
+        **change: Any,
     ) -> None:
+        """`toml`: our own settings, in which {folder} stands for the world's folder."""
         self.case, self.ids = case, 0
         self.doors()
         self.folder = tempfile.TemporaryDirectory()
         case.addCleanup(self.folder.cleanup)
-        self.process = launch(self.folder.name, self.config(limits or {}, change))
+        self.toml, self.env = toml, env or {}
+        self.start(self.config(limits or {}, change), engine)
+
+    def start(self, config: Any, engine: bool = True) -> None:
+        case = self.case
+        if self.toml:
+            path = Path(self.folder.name) / "ours.toml"
+            path.write_text(self.toml.replace("{folder}", self.folder.name))
+            self.env["LANDINGSHIFT_TOML"] = str(path)
+        self.process = launch(self.folder.name, config, self.env)
         case.addCleanup(self.end)
         self.lines: list[dict[str, Any]] = []
         self.address = tuple(self.logged("started")["listen"])
@@ -288,11 +304,11 @@
     return path
 
 
-def launch(folder: str, config: Any) -> subprocess.Popen[str]:
+def launch(folder: str, config: Any, env: dict[str, str] | None = None) -> subprocess.Popen[str]:
     path = write(folder, config)
     return subprocess.Popen(
         [sys.executable, "-m", "landingshift"], text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-        env=os.environ | {"GW_CONFIG": str(path)},
+        env=os.environ | {"GW_CONFIG": str(path)} | (env or {}),
     )  # fmt: skip
 
 
