Ledger commands, a receiver stand-in, and the experiment `landingshift lab ledger`

Need: the ledger's promises had to be shown with the failures they are for, and operators need a way to close, correct, resolve, state, verify, export, merge, back up and compact.

Change: `landingshift ledger ...` (click, structlog lines for long runs), statements and the story of one use, `lab/` with a receiver that fails from a seed, real servers killed under load, and a case for each hard case; `--break` takes a defence away. Found by it and mended: identities were forgotten when the clock stepped forth and back (two generations dropped by time; they go by number now), and a second compaction dropped what the first had kept of disputes.

--- a/landingshift/__main__.py
+++ b/landingshift/__main__.py
@@ -1,5 +1,4 @@
-"""One real server; its configuration is the file that GW_CONFIG names. With arguments, the operators'
-commands."""
+"""One real server, configured by the file that GW_CONFIG names; with arguments, the operators' commands."""
 
 import signal
 import sys
--- /dev/null
+++ b/landingshift/cli/lab.py
@@ -0,0 +1,42 @@
+"""`landingshift lab ...`: experiments that bring about the failures a subsystem is meant for."""
+
+from __future__ import annotations
+
+import click
+
+
+BROKEN = 1
+
+
+@click.group()
+def group() -> None:
+    """Experiments; exit status 1 where a promise did not hold."""
+
+
+@group.command()
+@click.option("--repeats", type=click.IntRange(1, 100_000), default=50, show_default=True)
+@click.option(
+    "--kills", type=click.IntRange(0, 10_000), default=5, show_default=True, help="Runs with a kill."
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
+@click.option("--break", "broken", type=click.Choice(["cursor", "identity", "chain", "disputed", "batch"]))
+@click.option("--only", help="One case by its name.")
+def ledger(
+    repeats: int, kills: int, seed: int, file: str | None, broken: str | None, only: str | None
+) -> None:
+    """Totals stay equal through failing receivers, exporters, disks and kills of the server."""
+    from landingshift.lab.ledger import experiment
+
+    rows = experiment(repeats, kills, seed, broken, only)
+    for row in rows:
+        click.echo(f"{'holds ' if row.holds else 'BROKEN'}  {row.name:28} {row.runs:6} runs  {row.figures}")
+        for text in row.broken[:3]:
+            click.echo(f"        {text}")
+    if file:
+        import orjson
+
+        with open(file, "wb") as out:
+            out.write(orjson.dumps([row.told() for row in rows], option=orjson.OPT_INDENT_2))
+    if not all(row.holds for row in rows):
+        raise SystemExit(BROKEN)
--- a/landingshift/ledger/audit.py
+++ b/landingshift/ledger/audit.py
@@ -1,5 +1,4 @@
-"""Reads a ledger from its first entry and says what does not hold: entries, chain, totals. Changes
-nothing."""
+"""Reads a ledger from its first entry and says what does not hold. Changes nothing."""
 
 from __future__ import annotations
 
--- a/landingshift/ledger/book.py
+++ b/landingshift/ledger/book.py
@@ -141,8 +141,7 @@
     # What operators bring
 
     def close(self, name: str, now: int, first_open: str | None, totals: list[tuple[object, ...]]) -> bool:
-        """Closes a period; False where it was closed before. `first_open`: the earliest with anything in
-        it."""
+        """False where it was closed before. `first_open`: the earliest period with anything in it."""
         period = self.period(name)
         if period.end <= self.closed_until:
             return False
--- a/landingshift/ledger/compact.py
+++ b/landingshift/ledger/compact.py
@@ -32,7 +32,7 @@
     if before is not None:
         found.last, found.hash = before.last, before.hash
         replay.begin(store, before)
-    uses, doubts = 0, list[int]()
+    doubts = [] if before is None else [n for n, k, _, _ in store.rows(1, before.last) if k == Kind.SETTLED]
     for number, kind, data, hash_ in store.rows(found.last + 1):
         entry = decode(kind, data)
         if isinstance(entry, Use) and entry.at >= end:
@@ -43,11 +43,11 @@
             break
         for _ in replay.take(number, entry):
             pass
-        uses += kind == Kind.USE
         if isinstance(entry, Settled) and entry.disputed:
             doubts.append(number)  # it says so of uses that may stay
         found.last, found.hash = number, hash_
-    found.uses = uses - len(replay.open)
+    there = "SELECT count(*) FROM entries WHERE number <= ? AND kind = ?"
+    found.uses = store.db.execute(there, (found.last, Kind.USE)).fetchone()[0] - len(replay.open)
     found.keep = {*replay.open, *doubts}
     return found, replay
 
--- a/landingshift/ledger/cursor.py
+++ b/landingshift/ledger/cursor.py
@@ -46,8 +46,7 @@
 
 
 class Cursor:
-    """`hash_at(number)` gives the chain's hash at an entry, or None where this ledger has none (compacted,
-    absent)."""
+    """`hash_at(number)` gives the chain's hash at an entry, None where this ledger has it not."""
 
     def __init__(self, hash_at: Callable[[int], bytes | None], chance: Random) -> None:
         self.hash_at, self.chance = hash_at, chance
@@ -73,8 +72,7 @@
         return longest * (0.5 + 0.5 * self.chance.random())
 
     def failed(self) -> None:
-        """No reply, or none that could be read: what became of the batch is unknown, so the next step
-        asks."""
+        """No reply, or none that could be read: the batch may have been applied, the next step asks."""
         self.fails += 1
         self.waited = False
         self.known = None
--- a/landingshift/ledger/exchange.py
+++ b/landingshift/ledger/exchange.py
@@ -21,8 +21,7 @@
 
 
 class Giver:
-    """Serves one instance's ledger; opens the store for each question, since SQLite wants one thread a
-    connection."""
+    """Serves one instance's ledger; each question opens the store, as SQLite wants one thread each."""
 
     def __init__(self, store: Callable[[], Store]) -> None:
         self.store = store
@@ -98,8 +97,7 @@
 
 
 def bring(merged: Merged, peer: Peer) -> tuple[str, int, str]:
-    """All that a peer has and `merged` lacks. Returns the instance, how many entries were new, and its
-    line."""
+    """All that a peer has and `merged` lacks. Returns instance, entries that were new, and line."""
     instance, newest, hash_ = peer.head()
     line = merged.current(instance)
     after = merged.heads().get(line, (0, b""))[0]
--- a/landingshift/ledger/exporter.py
+++ b/landingshift/ledger/exporter.py
@@ -26,8 +26,7 @@
 
 
 class Receiver:
-    """`url` like http://127.0.0.1:8080/ledger; a connection a question, since receivers may fail in
-    between."""
+    """`url` like http://127.0.0.1:8080/ledger; each question has a connection of its own."""
 
     def __init__(self, url: str, timeout: float) -> None:
         """`timeout` in ms. Raises ValueError for what is no such address."""
@@ -107,8 +106,7 @@
 
 
 def note(store: Store, cursor: int) -> None:
-    """Kept for `status` and `compact` alone: the receiver is the authority. The server's commits come
-    first."""
+    """Kept for `status` and `compact` alone: the receiver is the authority."""
     if store.meta("exported") != cursor:
         with store.writing():
             store.note("exported", cursor)
--- a/landingshift/ledger/merged.py
+++ b/landingshift/ledger/merged.py
@@ -1,18 +1,17 @@
-"""The ledgers of many instances in one file: their entries as they are, and the totals that follow from
-all."""
+"""The ledgers of many instances in one file, entries as they are, and the totals of all."""
 
 from __future__ import annotations
 
 import sqlite3
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from pathlib import Path
 
 from landingshift import points
 from landingshift.ledger.entries import (
     START,
     Closed,
     Correction,
-    Kind,
     Name,
     Resolved,
     Settled,
@@ -242,8 +241,7 @@
         self.sweep(entry.identity)
 
     def sweep(self, identity: bytes) -> None:
-        """All uses of one identity are looked at again: an earlier one may have come from another
-        instance."""
+        """Looks at all uses of one identity again: an earlier one may have come from elsewhere."""
         rows = self.db.execute(
             "SELECT at, line, number, counted, period, belongs, tenant, method, work, size_in, "
             "size_out FROM uses WHERE identity = ?",
@@ -277,4 +275,21 @@
         self.db.close()
 
 
-__all__ = ["Kind", "Merged"]
+def bring_file(merged: Merged, path: str) -> tuple[str, int, str]:
+    """All entries of a ledger's file. Returns its instance, how many were new, and the line they are on."""
+    try:
+        db = sqlite3.connect(f"{Path(path).resolve().as_uri()}?mode=ro", uri=True)
+        try:
+            row = db.execute("SELECT value FROM meta WHERE key = 'instance'").fetchone()
+            if row is None:
+                raise BadStore(f"{path}: no ledger")
+            rows = db.execute("SELECT number, kind, data, hash FROM entries ORDER BY number")
+            new, line = merged.take(str(row[0]), rows)
+        finally:
+            db.close()
+    except sqlite3.Error as err:
+        raise BadStore(f"{path}: {err}") from err
+    return str(row[0]), new, line
+
+
+__all__ = ["Merged", "bring_file"]
--- a/landingshift/ledger/names.py
+++ b/landingshift/ledger/names.py
@@ -1,5 +1,4 @@
-"""Names of any bytes as text and back: printable UTF-8 as it is, all else as \\xNN, so that no two look
-alike."""
+"""Names of any bytes as text and back: printable UTF-8 as it is, all else as \\xNN."""
 
 from __future__ import annotations
 
--- a/landingshift/ledger/outbox.py
+++ b/landingshift/ledger/outbox.py
@@ -1,5 +1,4 @@
-"""What the server still owes its store: batches in order, said again until they are known to be durable. No
-I/O."""
+"""What the server owes its store: batches in order, said again until they are durable. No I/O."""
 
 from __future__ import annotations
 
@@ -13,8 +12,7 @@
 
 
 class Outbox:
-    """`bound` in bytes, for all that is not durable; past it uses are dropped and counted, never grown
-    into."""
+    """`bound` in bytes, for all that is not durable; past it uses are dropped and counted."""
 
     def __init__(self, bound: int) -> None:
         self.bound, self.bytes = bound, 0
--- a/landingshift/ledger/prices.py
+++ b/landingshift/ledger/prices.py
@@ -109,8 +109,7 @@
 
 
 def cost(line: Line, amount: Decimal) -> Decimal:
-    """Unrounded price of so many units; less than nothing used (after corrections) is paid back at the first
-    price."""
+    """Unrounded price of so many units; fewer than none (corrected) are paid back at the first price."""
     charged = amount - line.free if amount > line.free else min(amount, ZERO)
     steps = line.steps()
     if charged <= 0:
--- a/landingshift/ledger/statements.py
+++ b/landingshift/ledger/statements.py
@@ -6,11 +6,13 @@
 import io
 from collections.abc import Iterator
 from dataclasses import dataclass
+from datetime import datetime
 from decimal import Decimal
 from itertools import groupby
 from typing import Any
 
-from landingshift.ledger.entries import Correction, Kind, decode
+from landingshift.ledger.book import Refused
+from landingshift.ledger.entries import Correction, Kind, Opened, Resolved, Settled, Use, decode
 from landingshift.ledger.names import shown
 from landingshift.ledger.prices import Charge, Plan, charges
 from landingshift.ledger.store import Store
@@ -29,8 +31,7 @@
 
 
 def statements(store: Store, plan: Plan, period: str, tenant: bytes | None = None) -> Iterator[Statement]:
-    """One a tenant with anything in the period; tenants in the order of their names, one in memory at a
-    time."""
+    """One a tenant with anything in the period, in the order of names, one in memory at a time."""
     name = store.book.period(period).name
     closed = store.db.execute("SELECT 1 FROM closed WHERE period = ?", (name,)).fetchone() is not None
     corrected: dict[bytes, list[Correction]] = {}
@@ -93,6 +94,48 @@
     }
 
 
+def story(store: Store, number: int) -> Iterator[str]:
+    """What an entry says, and of a use what became of it. Raises Refused for none."""
+    row = store.db.execute("SELECT kind, data, hash FROM entries WHERE number = ?", (number,)).fetchone()
+    if row is None:
+        raise Refused(f"{number}: there is no such entry")
+    entry = decode(row[0], row[1])
+    yield f"entry {number}: {Kind(row[0]).name.lower()}, hash {bytes(row[2]).hex()}"
+    if not isinstance(entry, Use):
+        yield str(entry)
+        return
+    at = datetime.fromtimestamp(entry.at / 1000.0, store.calendar.zone)
+    yield f"{shown(store.named(entry.tenant))} {shown(store.named(entry.method))} at {at.isoformat()}"
+    yield f"{entry.work / 1000.0:g} ms of work, {entry.size_in} bytes in, {entry.size_out} out"
+    yield f"identity {entry.identity.hex()}, period {store.calendar.at(entry.at).name}"
+    fates = ("counted", "a repeat of one counted before", "void: the answer never left whole", "disputed")
+    for other, kind, data, _ in store.rows(number):
+        later = decode(kind, data)
+        match later:
+            case Settled():
+                spans = (later.counted, later.repeats, later.void, later.disputed)
+                words = [word for word, span in zip(fates, spans, strict=True) if within(span, number)]
+            case Resolved():
+                words = [
+                    f"{word} by {later.who}: {later.reason}"
+                    for word, span in (("billed", later.billed), ("waived", later.waived))
+                    if within(span, number)
+                ]
+            case Opened():
+                words = ["disputed: the server ended before it was known"] * within(later.disputed, number)
+            case _:
+                words = []
+        for word in words:
+            yield f"entry {other}: {word}"
+            if "disputed" not in word:
+                return
+    yield "nothing is known of its answer yet"
+
+
+def within(spans: list[int], number: int) -> bool:
+    return any(first <= number < first + count for first, count in zip(spans[::2], spans[1::2], strict=True))
+
+
 HEAD = ["tenant", "period", "line", "unit", "quantity", "free", "amount", "currency", "belongs", "reason"]
 
 
--- a/landingshift/ledger/store.py
+++ b/landingshift/ledger/store.py
@@ -109,8 +109,7 @@
 
 class Store:
     def __init__(self, folder: str, instance: str, zone: str, unit: Unit, window: int, recent: int) -> None:
-        """`window` in ms. Raises BadStore for a folder or file that can't be used, another instance or
-        zone."""
+        """`window` in ms. Raises BadStore for a file that can't be used or is another instance's."""
         self.path = os.path.join(folder, FILE)
         self.instance, self.zone, self.unit, self.window, self.most = instance, zone, unit, window, recent
         self.db = connect(self.path)
@@ -257,6 +256,23 @@
         names = [name for (name,) in rows]
         return min(names, key=lambda name: self.calendar.named(name).start, default=None)
 
+    def periods(self) -> list[tuple[str, tuple[int, int, int, int], bool]]:
+        """Name, sums and whether it is closed, in their order."""
+        rows = self.db.execute(
+            "SELECT s.period, uses, work, size_in, size_out, c.number IS NOT NULL FROM sums s "
+            "LEFT JOIN closed c USING(period)"
+        ).fetchall()
+        found = [(name, (uses, work, i, o), bool(closed)) for name, uses, work, i, o, closed in rows]
+        return sorted(found, key=lambda row: self.calendar.named(row[0]).start)
+
+    def backup(self, path: str) -> None:
+        """A whole copy, taken while the server goes on."""
+        copy = sqlite3.connect(path)
+        try:
+            self.db.backup(copy, pages=1000)
+        finally:
+            copy.close()
+
     def raw_totals(self, period: str) -> list[tuple[object, ...]]:
         return self.db.execute(
             "SELECT belongs, tenant, method, uses, work, size_in, size_out FROM totals WHERE period = ?",
--- a/landingshift/net/program/features.py
+++ b/landingshift/net/program/features.py
@@ -51,7 +51,8 @@
         return service
 
 
-def decode(data: dict[str, Any], path: str) -> list[Feature]:
+def decode(data: dict[str, Any], path: str, every: bool = False) -> list[Feature]:
+    """Those that are on; `every`: all that the file names."""
     import msgspec
 
     features = []
@@ -68,7 +69,7 @@
             raise BadFeature(f"{path}: [{table}] {told(str(err))}") from err
         except ValueError as err:
             raise BadFeature(f"{path}: [{table}] {err}") from err
-        if settings.on:
+        if settings.on or every:
             features.append(Feature(table, settings))
     return features
 
@@ -83,7 +84,7 @@
     return what
 
 
-def load(path: str | None) -> list[Feature]:
+def load(path: str | None, every: bool = False) -> list[Feature]:
     if not path:
         return []
     try:
@@ -93,4 +94,4 @@
         raise BadFeature(f"{path}: {err.strerror}") from err
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as err:
         raise BadFeature(f"{path}: {err}") from err
-    return decode(data, path)
+    return decode(data, path, every)
