--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -11,8 +11,19 @@
 from math import inf
 from random import Random
 
-from landingshift.interface import Actions, Advert, Below, Effect, Gauges, Method, Outcome, Rpc, Settings
-from landingshift.interface import Stopping, Tenant
+from landingshift.interface import (
+    Actions,
+    Advert,
+    Below,
+    Effect,
+    Gauges,
+    Method,
+    Outcome,
+    Rpc,
+    Settings,
+    Stopping,
+    Tenant,
+)
 
 TICK = 50.0  # between two looks at the gauges and the hold
 LAST = 10.0  # before its end that running work is answered for: it may still end by itself until then
--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -4,7 +4,6 @@
 
 import click
 
-
 BROKEN = 1
 
 
--- a/landingshift/drill/door.py
+++ b/landingshift/drill/door.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from landingshift.brain import Job, Server
-from landingshift.settings import decode
 from landingshift.interface import Gauges, Outcome, Rpc, Settings
+from landingshift.settings import decode
 
 OUTCOMES = {
     "served": Outcome.OK,
--- a/landingshift/lab/kills.py
+++ b/landingshift/lab/kills.py
@@ -16,7 +16,7 @@
 from landingshift.ledger.entries import Settled, Use, decode, identity, numbers
 from landingshift.ledger.store import Store
 
-TOML = '[ledger]\nfolder = "{folder}/ledger"\ninstance = "lab"\n'
+TOML = '[ledger]\nfolder = "{folder}/ledger"\ninstance = "lab"\nlock_wait_ms = 20000\n'
 WAYS = ("none", "server", "store", "both")
 ABREAST = 4
 
--- a/landingshift/lab/ledger.py
+++ b/landingshift/lab/ledger.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from landingshift import points
+from landingshift.lab import MEMORY
 from landingshift.lab.receiver import FAULTS, Books, Failing, Server
 from landingshift.ledger import audit as audits
 from landingshift.ledger.book import Book, Refused
@@ -25,7 +26,6 @@
 from landingshift.ledger.recent import Recent
 from landingshift.ledger.store import BadStore, Lock, Store
 
-MEMORY = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None
 ZONE, WINDOW = "Europe/Copenhagen", 60_000
 START = 1_774_738_800_000  # a day before the clocks go forward there in March 2026, local midnight
 DAY = 86_400_000
--- a/landingshift/lab/stage.py
+++ b/landingshift/lab/stage.py
@@ -161,7 +161,10 @@
             "at": str(int(time.time() * 1000)), "wait": "3000", "kb": "10", "rank": "0.5",
         }  # fmt: skip
         self.open[self.sent] = body, time.perf_counter()
-        self.sock.sendall(msgpack.packb([0, self.sent, METHOD, [told, body]]))
+        try:
+            self.sock.sendall(msgpack.packb([0, self.sent, METHOD, [told, body]]))
+        except OSError:
+            self.stopping = True  # what has come is read to its end all the same
 
     def run(self) -> None:
         unpacker = msgpack.Unpacker()
--- a/landingshift/ledger/audit.py
+++ b/landingshift/ledger/audit.py
@@ -15,13 +15,16 @@
     Compacted,
     Correction,
     Entry,
+    Kind,
     Name,
     Opened,
     Resolved,
     Settled,
     Use,
+    chain,
+    decode,
+    numbers,
 )
-from landingshift.ledger.entries import Kind, chain, decode, numbers
 from landingshift.ledger.store import Store
 
 
--- a/landingshift/ledger/book.py
+++ b/landingshift/ledger/book.py
@@ -11,8 +11,26 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from landingshift.ledger.entries import START, Batch, Closed, Correction, Entry, Gap, Kind, Name, Opened, Raw
-from landingshift.ledger.entries import KINDS, Resolved, Settled, Use, chain, encode, numbers, ranges
+from landingshift.ledger.entries import (
+    KINDS,
+    START,
+    Batch,
+    Closed,
+    Correction,
+    Entry,
+    Gap,
+    Kind,
+    Name,
+    Opened,
+    Raw,
+    Resolved,
+    Settled,
+    Use,
+    chain,
+    encode,
+    numbers,
+    ranges,
+)
 from landingshift.ledger.periods import BadPeriod, Calendar, Period
 from landingshift.ledger.recent import Recent
 
@@ -108,17 +126,22 @@
     def settle(self, batch: Batch) -> None:
         counted, repeats = [], []
         for n in batch.sent:
-            number, use = self.pending.pop(n)
+            number, use = self.unsettled(n)
             if self.recent.seen(use.identity, use.at):
                 repeats.append(number)
             else:
                 counted.append(number)
                 self.count(use)
-        void = [self.pending.pop(n)[0] for n in batch.void]
-        doubt = [self.pending.pop(n)[0] for n in batch.disputed]
+        void = [self.unsettled(n)[0] for n in batch.void]
+        doubt = [self.unsettled(n)[0] for n in batch.disputed]
         self.step.disputed += doubt
         self.append(Settled(ranges(counted), ranges(repeats), ranges(void), ranges(doubt)))
 
+    def unsettled(self, n: int) -> tuple[int, Use]:
+        if n not in self.pending:
+            raise Refused(f"use {n} is not there or settled: the server and the store disagree")
+        return self.pending.pop(n)
+
     def count(self, use: Use) -> None:
         self.recent.add(use.identity, use.at)
         self.add(use.at, use.tenant, use.method, (1, use.work, use.size_in, use.size_out))
--- a/landingshift/ledger/entries.py
+++ b/landingshift/ledger/entries.py
@@ -200,3 +200,4 @@
 
     acked: int
     fault: str = ""
+    shortened: int = 0  # times that identities were forgotten within their window
--- a/landingshift/ledger/merged.py
+++ b/landingshift/ledger/merged.py
@@ -18,8 +18,8 @@
     Use,
     chain,
     decode,
+    numbers,
 )
-from landingshift.ledger.entries import numbers
 from landingshift.ledger.merge import Fit, Standing, counted, fit, parted
 from landingshift.ledger.periods import Calendar, Unit
 from landingshift.ledger.store import BadStore, connect
--- a/landingshift/ledger/service.py
+++ b/landingshift/ledger/service.py
@@ -36,6 +36,8 @@
 EARLY = 15.0  # ms before its deadline that an ok answer goes out whatever the store does
 FINISH = 400.0  # ms that the end of the server waits for the last commit
 PAUSES = (50.0, 200.0, 1000.0, 5000.0)  # ms between two starts of the store's process
+RESULTS = 4  # times the queue that results may take which wait for their commit
+STEADY = 60_000.0  # ms after which a store's process that ends counts as the first to do so
 SENDS = 60_000.0  # ms that an answer may be on its way before nobody knows
 GOOD_ENDS = ("closed_by_gateway", "goaway")  # the gateway read all before the connection ended
 
@@ -70,7 +72,10 @@
         self.tick_timer: Timer | None = None
         self.decode = msgspec.msgpack.Decoder(Word).decode
         self.encode = msgspec.msgpack.Encoder().encode
-        self.starts = self.early = self.dropped = 0
+        self.starts = self.early = self.dropped = self.shortened = 0
+        self.started_at = self.loop.now
+        self.results = 0  # bytes of those that are held
+        self.by = float("inf")  # when all that is held must go, once the server drains
         self.ready = self.finishing = False
         self.stuck = False
         self.fault = ""
@@ -82,7 +87,8 @@
     def start(self) -> None:
         settings = self.settings
         words = [msgspec.json.encode(settings).decode(), self.run.hex()]
-        self.starts += 1
+        self.starts = self.starts + 1 if self.loop.now - self.started_at < STEADY else 1
+        self.started_at = self.loop.now
         try:
             self.worker = Worker(
                 self.loop, "landingshift.ledger.worker", words, self, settings.queue_kb * 2048
@@ -108,6 +114,10 @@
                 self.log("ledger_fault", error=word.fault, waiting=len(self.held), starts=self.starts)
             self.fault = word.fault
             return
+        if word.shortened > self.shortened:
+            self.log("mode", text=f"ledger forgets: more identities than `recent` within the window, "
+                     f"{word.shortened} times")  # fmt: skip
+            self.shortened = max(word.shortened, 2 * self.shortened)
         if self.fault:
             self.log("ledger_well", after=self.fault, waiting=len(self.held))
             self.fault = ""
@@ -140,14 +150,24 @@
         raw = self.use(rpc, result, work)
         if not self.outbox.add(raw):
             return self.without(rpc, result)
-        held = Held(rpc, result, rpc.job.due - EARLY, raw)
+        held = Held(rpc, result, min(rpc.job.due - EARLY, self.by), raw)
         self.held[raw.n] = self.by_rpc[rpc] = held
         self.arm()
-        if self.before:
-            self.soonest = min(self.soonest, held.due)
-        else:
+        if not self.before:
             held.passed = True
-        return self.before
+            return False
+        self.results += len(result)
+        if self.results > RESULTS * self.outbox.bound:
+            held.due = self.loop.now  # memory is bounded: it goes at the next tick, durable or not
+        self.soonest = min(self.soonest, held.due)
+        return True
+
+    def leave(self, by: float) -> None:
+        self.by = by
+        for held in self.held.values():
+            held.due = min(held.due, by)
+        self.soonest = min(self.soonest, by) if self.held else self.soonest
+        self.arm()
 
     def use(self, rpc: Routed, result: bytes, work: float) -> Raw:
         s = self.settings
@@ -178,12 +198,16 @@
             self.mode(False)
 
     def let_go(self, held: Held) -> None:
-        held.passed = True
+        result = self.take_out(held)
         points.reach("ledger.answering")
-        self.router.pass_on(held.rpc, held.result)
-        held.result = b""
+        self.router.pass_on(held.rpc, result)
         self.unless_answered(held)
 
+    def take_out(self, held: Held) -> bytes:
+        result, held.result, held.passed = held.result, b"", True
+        self.results -= len(result)
+        return result
+
     def unless_answered(self, held: Held) -> None:
         if self.by_rpc.pop(held.rpc, None) is not None:  # nobody waited any more: no use
             self.outbox.settle(self.outbox.void, held.raw.n)
@@ -235,7 +259,7 @@
             self.early += 1
             self.mode(True)
             if self.settings.stuck == "abort":
-                held.passed = True
+                self.take_out(held)
                 self.router.refuse_ok(held.rpc)
                 self.unless_answered(held)
             else:
--- a/landingshift/ledger/worker.py
+++ b/landingshift/ledger/worker.py
@@ -64,6 +64,7 @@
             pass
         if not waiting:
             continue
+        points.reach("ledger.take")
         try:
             with store.changing() as book:
                 for batch in waiting:
@@ -83,7 +84,7 @@
         acked = waiting[-1].number
         waiting.clear()
         points.reach("ledger.acking")
-        tell(Word(acked))
+        tell(Word(acked, shortened=store.book.recent.shortened))
     store.close()
     lock.close()
     return 0
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -305,7 +305,10 @@
             self.loop.stop()
             return
         self.stir().quiesce(left)
-        self.loop.after(max(left - LEAVE, left / 2.0), self.depart)
+        away = max(left - LEAVE, left / 2.0)
+        if self.gate is not None:
+            self.gate.leave(self.loop.now + away)
+        self.loop.after(away, self.depart)
 
     def depart(self) -> None:
         self.gateways.leave()
--- a/landingshift/net/routing/taps.py
+++ b/landingshift/net/routing/taps.py
@@ -28,6 +28,9 @@
     def hold(self, rpc: Routed, result: bytes, work: float) -> bool:
         """True where the gate passes the answer on by itself; `work` in ms."""
 
+    def leave(self, by: float) -> None:
+        """The server drains: whatever is held goes by then, loop time in ms."""
+
 
 class Taps:
     def __init__(self, report: Callable[..., None]) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,6 +20,7 @@
 
 from landingshift.brain import Job, Server
 from landingshift.interface import Advert, Below, Effect, Gauges, Method, Rpc, Settings, Stopping
+from landingshift.lab import MEMORY
 
 METHOD = Method(Effect.IDEMPOTENT, 1000.0, 0.0, 3000.0, 1.0, 0.0, 5000.0, False, 0.0)
 SETTINGS = Settings(
@@ -220,14 +221,15 @@
         engine: bool = True,
         toml: str = "",
         env: dict[str, str] | None = None,
+        command: list[str] | None = None,
         **change: Any,
     ) -> None:
         """`toml`: our own settings, in which {folder} stands for the world's folder."""
         self.case, self.ids = case, 0
         self.doors()
-        self.folder = tempfile.TemporaryDirectory()
+        self.folder = tempfile.TemporaryDirectory(dir=MEMORY)
         case.addCleanup(self.folder.cleanup)
-        self.toml, self.env = toml, env or {}
+        self.toml, self.env, self.command = toml, env or {}, command or []
         self.start(self.config(limits or {}, change), engine)
 
     def start(self, config: Any, engine: bool = True) -> None:
@@ -236,7 +238,7 @@
             path = Path(self.folder.name) / "ours.toml"
             path.write_text(self.toml.replace("{folder}", self.folder.name))
             self.env["LANDINGSHIFT_TOML"] = str(path)
-        self.process = launch(self.folder.name, config, self.env)
+        self.process = launch(self.folder.name, config, self.env, self.command)
         case.addCleanup(self.end)
         self.lines: list[dict[str, Any]] = []
         self.address = tuple(self.logged("started")["listen"])
@@ -304,10 +306,13 @@
     return path
 
 
-def launch(folder: str, config: Any, env: dict[str, str] | None = None) -> subprocess.Popen[str]:
+def launch(
+    folder: str, config: Any, env: dict[str, str] | None = None, command: list[str] | None = None
+) -> subprocess.Popen[str]:
     path = write(folder, config)
     return subprocess.Popen(
-        [sys.executable, "-m", "landingshift"], text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+        [sys.executable, "-m", "landingshift", *(command or [])],
+        text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
         env=os.environ | {"GW_CONFIG": str(path)} | (env or {}),
     )  # fmt: skip
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,205 @@
+"""The commands, our own settings, what a server loads, and observers."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from click.testing import CliRunner
+
+from landingshift.cli.main import main
+from landingshift.lab import MEMORY
+from landingshift.lab.receiver import Books, Failing, Server
+from landingshift.ledger.entries import Batch, Raw
+from landingshift.ledger.store import Store
+from landingshift.net.program.features import BadFeature, load
+from landingshift.net.routing.taps import Taps
+from tests.helpers import CONFIG, Gateway, World
+
+ON = '[ledger]\nfolder = "/tmp/x"\ninstance = "n1"\n'
+
+
+class Ours(unittest.TestCase):
+    def test_what_is_wrong_is_told_by_file_table_and_key(self) -> None:
+        for text, said in [
+            ("[ledger", "ours.toml"), ("[other]\n", "[other]"), ("ledger = 3\n", "ledger"),
+            ('[ledger]\ninstance = "n"\n', "[ledger] folder"), (ON + "commit = 3\n", "[ledger] commit"),
+            (ON + "commit_ms = -1\n", "[ledger] commit_ms"), (ON + 'commit_ms = "x"\n', "[ledger] commit_ms"),
+            (ON + 'zone = "Mars/Base"\n', "[ledger] zone"), (ON + 'period = "year"\n', "[ledger] period"),
+            (ON + 'plan = "none.toml"\n', "[ledger] plan"), (ON.replace("n1", "n 1"), "[ledger] instance"),
+            (ON.replace("/tmp/x", "x"), "[ledger] folder"), (ON + 'zone = "../etc"\n', "[ledger] zone"),
+        ]:  # fmt: skip
+            with self.subTest(text=text), tempfile.TemporaryDirectory() as folder:
+                path = Path(folder, "ours.toml")
+                path.write_text(text)
+                with self.assertRaises(BadFeature) as caught:
+                    load(str(path))
+                self.assertIn(said, str(caught.exception))
+                self.assertIn("ours.toml", str(caught.exception))
+                result = CliRunner().invoke(main, ["check", str(path)])
+                self.assertEqual(result.exit_code, 2)
+                self.assertIn(said, result.output)
+
+    def test_what_is_off_is_not_loaded(self) -> None:
+        # Its memory limit can be 32 MB: no room, and no library that only a room needs.
+        code = (
+            "import sys, landingshift.net.program.main, landingshift.net.program.features as f\n"
+            "assert f.load(sys.argv[1]) == []\n"
+            "print([m for m in sys.modules if m.startswith(('landingshift.ledger.', 'landingshift.lab',\n"
+            "'landingshift.cli', 'click', 'structlog', 'google', 'grpc', 'sqlite3', 'asyncio', 'zoneinfo'))])"
+        )
+        found = subprocess.run(
+            [sys.executable, "-c", code, "deploy/landingshift.toml"],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(found.stdout.strip(), "[]")
+
+    def test_check_reads_both_kinds_of_file(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            good, bad, ours = Path(folder, "a.json"), Path(folder, "b.json"), Path(folder, "ours.toml")
+            good.write_text(json.dumps(CONFIG))
+            bad.write_text(json.dumps(CONFIG | {"seed": "xyz"}))
+            ours.write_text(ON)
+            result = CliRunner().invoke(main, ["check", str(good), str(ours)])
+            self.assertEqual(result.exit_code, 0, result.output)
+            result = CliRunner().invoke(main, ["check", str(good), str(bad)])
+            self.assertEqual(result.exit_code, 2)
+            self.assertIn("seed", result.output)
+
+
+class Watching(unittest.TestCase):
+    def test_an_observer_that_raises_is_cut_off_and_the_others_go_on(self) -> None:
+        heard: list[Any] = []
+
+        class Good:
+            name = "good"
+
+            def __getattr__(self, event: str) -> Any:
+                return lambda *facts: heard.append(event)
+
+        class Bad(Good):
+            name = "bad"
+
+            def started(self, _: Any) -> None:
+                raise ValueError("defect")
+
+        lines: list[Any] = []
+        taps = Taps(lambda event, **fields: lines.append((event, fields["name"])))
+        taps.add(Bad())  # type: ignore[arg-type]
+        taps.add(Good())  # type: ignore[arg-type]
+        for event in ("read", "started", "closed"):
+            taps.tell(event, None)
+        self.assertEqual(heard, ["read", "read", "started", "closed"])
+        self.assertEqual(lines, [("observer_cut_off", "bad")])
+
+    def test_serve_is_what_the_platform_starts(self) -> None:
+        w = World(self, command=["serve"])
+        g = Gateway(w)
+        n = g.rpc()
+        w.engine.expect("RUN", g.id)
+        w.engine.say("DONE 1", g.id, "good 5", body=b"r")
+        self.assertEqual(g.answer(), (n, b"r"))
+
+
+class Commands(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory(dir=MEMORY)
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        self.toml = self.settings("n1")
+        self.fill("n1", 1_764_547_200_000)  # December 2025
+
+    def settings(self, instance: str) -> str:
+        path = Path(self.folder, f"{instance}.toml")
+        path.write_text(
+            f'[ledger]\nfolder = "{self.folder}/{instance}"\ninstance = "{instance}"\nplan = "plan.toml"\n'
+        )
+        Path(self.folder, "plan.toml").write_text(
+            'currency = "EUR"\ndefault = "a"\n[[plans.a]]\nname = "RPCs"\nunit = "rpc"\nprice = 0.25\n'
+        )
+        return str(path)
+
+    def fill(self, instance: str, at: int) -> None:
+        Path(self.folder, instance).mkdir(exist_ok=True)
+        store = Store(f"{self.folder}/{instance}", instance, "UTC", "month", 900_000, 1000)
+        for run, settled in ((b"1", [1, 2, 3]), (b"2", [])):
+            store.open_run(run, at)
+            with store.changing() as book:
+                uses = [Raw(n, at + n, b"club", b"m", 5000, 9, 9, run + b"%015d" % n) for n in (1, 2, 3)]
+                book.take(Batch(1, uses, settled, [], []), at)
+        store.open_run(b"3", at)  # the second run was killed
+        store.close()
+
+    def run_(self, *words: str, status: int = 0) -> str:
+        result = CliRunner().invoke(main, ["ledger", *words, "--toml", self.toml])
+        self.assertEqual(result.exit_code, status, result.output)
+        return result.output
+
+    def test_a_month_from_status_to_compaction(self) -> None:
+        state = json.loads(self.run_("status", "--json"))
+        self.assertEqual((state["disputed"], state["unsettled"]), (3, 0))
+        self.assertEqual(json.loads(self.run_("periods", "--json"))["uses"], 3)
+        numbers = [json.loads(line)["number"] for line in self.run_("disputed", "--json").splitlines()]
+        self.run_("resolve", "--bill", "1", "--reason", "x", status=2)
+        self.run_(
+            "resolve", "--bill", str(numbers[0]), "--waive-all", "--reason", "gateway's log", "--who", "me"
+        )
+        self.assertEqual(self.run_("disputed"), "")
+        self.assertIn("billed by me", self.run_("show", str(numbers[0])))
+        self.run_("correct", "--tenant", "club", "--method", "m", "--period", "2025-12", "--uses", "-1",
+                  "--amount", "-1.00", "--reason", "complaint")  # fmt: skip
+        for wrong in (["--tenant", "nobody", "--uses", "1"], ["--tenant", "club", "--amount", "x"]):
+            self.run_("correct", *wrong, "--method", "m", "--period", "2025-12", "--reason", "x", status=2)
+        told = json.loads(self.run_("statement", "2025-12", "--format", "json"))
+        self.assertEqual((told["uses"], told["total"]), (3, "-0.25"))
+        self.run_("close", "2099-01", status=2)
+        self.assertIn("closed", self.run_("close", "2025-12"))
+        self.assertIn("before", self.run_("close", "2025-12"))
+        self.assertIn("hold", self.run_("verify"))
+        self.run_("compact", "2025-12", status=2)  # not exported
+        books = Books()
+        server = Server(Failing(books, Random(1), 0.0))
+        self.addCleanup(server.close)
+        self.run_("export", "--to", server.url)
+        self.assertEqual(sum(sums[0] for sums in books.totals().values()), 3)
+        self.assertIn("uses gone", self.run_("compact", "2025-12"))
+        self.assertIn("hold", self.run_("verify"))
+        self.assertEqual(json.loads(self.run_("periods", "--json"))["uses"], 3)
+        self.run_("backup", f"{self.folder}/copy.sqlite")
+        self.run_("backup", f"{self.folder}/copy.sqlite", status=2)
+
+    def test_verify_names_what_is_wrong(self) -> None:
+        store = Store(f"{self.folder}/n1", "n1", "UTC", "month", 900_000, 1000)
+        store.db.execute("DELETE FROM entries WHERE number = 5")
+        store.close()
+        self.assertIn("entry 5: missing", self.run_("verify", status=1))
+        self.run_("compact", "2025-12", "--unexported", status=2)
+
+    def test_merge_of_files(self) -> None:
+        self.settings("n2")
+        self.fill("n2", 1_764_547_200_500)
+        files = [f"{self.folder}/{name}/ledger.sqlite" for name in ("n1", "n2")]
+        out = self.run_("merge", *files, files[0], "--into", f"{self.folder}/all.sqlite", "--json")
+        row = next(json.loads(line) for line in out.splitlines() if line.startswith("{"))
+        self.assertEqual(row["uses"], 3)  # the same three tries at both
+        self.run_("merge", f"{self.folder}/plan.toml", "--into", f"{self.folder}/all.sqlite", status=1)
+
+    def test_without_a_ledger(self) -> None:
+        for words, said in [
+            (["status", "--toml", "/none.toml"], "/none.toml"), (["status"], "--toml"),
+            (["status", "--toml", str(Path("deploy/landingshift.toml"))], "[ledger]"),
+        ]:  # fmt: skip
+            with self.subTest(words=words):
+                result = CliRunner().invoke(main, ["ledger", *words], env={"LANDINGSHIFT_TOML": None})
+                self.assertEqual(result.exit_code, 2)
+                self.assertIn(said, result.output)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -1,5 +1,6 @@
 """The ledger in a running server: what is billed is what gateways got."""
 
+import contextlib
 import tempfile
 import time
 import unittest
@@ -141,8 +142,40 @@
                 self.assertEqual(billed(w), {(b"t", b"m"): 4})
                 self.assertEqual(disputed(w), [])
 
+    def test_a_drain_does_not_wait_for_a_store_that_hangs(self) -> None:
+        # All that was read is answered before the stop, and the notice shortens what an answer may wait.
+        w = World(self, toml=TOML, env={"LANDINGSHIFT_SLOW": "ledger.take:3000"})
+        g = Gateway(w)
+        n = serve(w, g, body=b"slow")
+        time.sleep(0.1)
+        w.process.terminate()
+        begun = time.monotonic()
+        said = [m for m in (g.message(), g.message()) if m[0] == 1]  # the other asks it to go
+        self.assertEqual([(m[1], m[3][0]) for m in said], [(n, b"r" * 30)])
+        self.assertLess(time.monotonic() - begun, 1.4)  # stop_ms is 1500
+        self.assertEqual(w.logged("mode")["text"][:15], "draining: 1500 ")
+
+    def test_results_that_wait_for_a_commit_are_bounded(self) -> None:
+        # 64 KB of uses let four times that of results wait; 90 of 4 KB are more, and the rest goes at once.
+        w = World(self, toml=TOML + "queue_kb = 64\n", env={"LANDINGSHIFT_SLOW": "ledger.take:1500"})
+        gateways = [Gateway(w) for _ in range(3)]
+        for i in range(90):
+            gateways[i % 3].rpc(body=b"%d" % i)
+        for i in range(90):
+            rid = w.engine.next()[0][1]
+            w.engine.say("DONE", i + 1, rid, "good 1", body=bytes(4000))
+        time.sleep(0.5)
+        early = 0
+        for g in gateways:
+            g.sock.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    g.unpacker.feed(g.sock.recv(65536))
+            early += sum(1 for _ in g.unpacker)
+        self.assertTrue(20 <= early <= 45, early)
+
     def test_a_slow_store_holds_no_answer_past_its_deadline(self) -> None:
-        w = World(self, toml=TOML, env={"LANDINGSHIFT_SLOW": "ledger.commit:900"})
+        w = World(self, toml=TOML, env={"LANDINGSHIFT_SLOW": "ledger.take:900"})
         g = Gateway(w)
         begun = time.monotonic()
         n = serve(w, g, body=b"slow", wait="400")
