Upgrade: all layers' state moves to another router, descriptors and half messages included

Need: the module's state alone serves nobody; streams, RPCs, kept results, calls in flight and the engine's link have to go on where they are.

Change: `handover/state.py` gives them as plain values and descriptors and makes a router from them. Connections and database links are made from a stream that is given, the listener from a socket that listens already, and the engine need not attach, so that both ways use the same code.

Not wired to a server yet.

--- /dev/null
+++ b/landingshift/handover/state.py
@@ -0,0 +1,355 @@
+"""All that a server has in hand, layer by layer, as plain values and descriptors; and a router made from it.
+
+Given between two passes of the loop, when nothing waits to be settled. Times are of the machine's monotonic
+clock, which both builds share. A key that the reader does not know is left out; what can't be left out raises
+the carrier's version.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from msgspec import Struct, field, msgpack
+
+from landingshift.brain import Server
+from landingshift.interface import Outcome
+from landingshift.net.protocol import engine as engine_wire
+from landingshift.net.routing.database import BOUND as DATABASE_BOUND
+from landingshift.net.routing.database import WHOLE, Call, Link
+from landingshift.net.routing.engine import BOUND as ENGINE_BOUND
+from landingshift.net.routing.engine import RETRY, Command
+from landingshift.net.routing.gateways import BOUND as GATEWAY_BOUND
+from landingshift.net.routing.gateways import RESET, Connection
+from landingshift.net.routing.kept import ENTRY, Entry
+from landingshift.net.routing.records import Routed
+from landingshift.net.routing.router import Router, Site
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.stream import LINGER, Stream
+
+OWN = ("rid", "name", "body", "number", "subject", "answered", "gone", "closed", "need", "need_body", "mark")
+FACTS = ("remaining", "waited", "kb", "caller", "hint", "keyed", "repeat", "retry", "write", "tenant_name")
+COUNTS = ("read", "probes", "bad", "fault", "away", "proven", "born", "heard", "half")
+LINK = ("last", "links", "tags", "ready", "met", "greeted", "moving", "linked", "lost", "heard")
+
+
+class CannotMove(Exception):
+    """What is in hand can't go to another build; the text says what."""
+
+
+class OfStream(Struct):
+    fd: int  # which of the descriptors
+    out: bytes
+    queued: int
+    sent: int
+    last: float
+    reading: bool
+    connecting: bool
+    reason: str
+
+
+class OfRpc(Struct):
+    method: int  # in the order of the settings
+    tenant: str | None
+    own: dict[str, Any]
+    facts: dict[str, Any]
+    connection: int = -1  # in the order of the connections
+    command: list[Any] | None = None  # data, runs, end, doubt, held back
+    entry: int = -1  # what it repeats, in the order of the kept results
+    waits: bool = False  # for that one's end
+    stale: list[int] = field(default_factory=list)  # links to the database
+
+
+class OfConnection(Struct):
+    stream: OfStream
+    rest: bytes
+    counts: dict[str, Any]
+    rpcs: dict[int, int]  # open, by message number
+
+
+class OfEntry(Struct):
+    owner: int
+    until: float
+    outcome: int | None
+    ended: float
+    result: bytes | None
+    work: float
+
+
+class OfLink(Struct):
+    """To the database."""
+
+    stream: OfStream
+    buffer: bytes
+    fresh: bool  # takes new calls
+    calls: list[list[Any]]  # RPC, start, end in the stream, when it is given up
+
+
+class OfEngine(Struct):
+    stream: OfStream | None
+    buffer: bytes
+    plain: dict[str, Any]
+    stats: list[Any] | None
+    unsure: list[int]  # RPCs whose command is not known to have arrived, in order
+
+
+class State(Struct):
+    connections: list[OfConnection]
+    rpcs: list[OfRpc]
+    entries: list[OfEntry]
+    links: list[OfLink]
+    engine: OfEngine
+    module: dict[str, Any] | None
+    jobs: int  # the first so many RPCs are the module's, in its order
+    cold: bool
+    told: dict[str, str]
+    draining: bool
+    health: list[bool]  # good, cheap, reporting
+    idle: float  # limit on the gateways' connections
+
+
+# Giving
+
+
+class Giver:
+    """One use each. The old router is left as it is, and goes on if the new one does not."""
+
+    def __init__(self, router: Router) -> None:
+        if router.todo or router.stirred or router.loop.dirty or router.database.leaving:
+            raise CannotMove("a pass is not over")
+        if router.gate is not None:
+            raise CannotMove("a gate holds answers")
+        self.router = router
+        self.fds: list[int] = []
+        self.links = [*router.database.links]
+        self.links += [link for link in self.retired() if link not in self.links]
+        self.connections = list(router.gateways.table)
+
+    def retired(self) -> list[Link]:
+        """Links that end once their last calls do."""
+        return list({rpc.call.link: None for rpc in self.router.rpcs if rpc.call is not None})
+
+    def give(self) -> tuple[bytes, list[int]]:
+        """The state, and the descriptors it speaks of, the listener first; all stay the old process's own."""
+        r = self.router
+        r.engine.give_up_tests()
+        self.fds.append(r.gateways.listener.sock.fileno())
+        module, jobs = r.server.give() if r.server is not None else (None, [])
+        rpcs: list[Routed] = [job.rpc for job in jobs if isinstance(job.rpc, Routed)]
+        assert len(rpcs) == len(jobs)
+        entries = list(r.kept.entries.values())
+        known = {rpc: i for i, rpc in enumerate(rpcs)}
+        for entry in entries:
+            if entry.owner not in known:
+                known[entry.owner] = len(rpcs)
+                rpcs.append(entry.owner)
+        for rpc in r.rpcs:
+            if rpc not in known:
+                raise CannotMove("an RPC that the module does not know")
+        places = {entry: i for i, entry in enumerate(entries)}
+        for entry in {rpc.original: None for rpc in rpcs if rpc.original is not None}:
+            if entry not in places:  # replaced by a newer one while repeats still wait for it
+                raise CannotMove("a repeat waits for a result that was replaced")
+        state = State(
+            connections=[self.connection(c, known) for c in self.connections],
+            rpcs=[self.rpc(rpc, places) for rpc in rpcs],
+            entries=[
+                OfEntry(known[e.owner], e.until, e.outcome and e.outcome.value, e.ended, e.result, e.work)
+                for e in entries
+            ],
+            links=[self.link(link, known) for link in self.links if link.stream is not None],
+            engine=self.engine(known),
+            module=module,
+            jobs=len(jobs),
+            cold=r.server.set.cold if r.server is not None else False,
+            told=r.told,
+            draining=r.draining,
+            health=[r.health_state.good, r.health_state.cheap, r.health_state.reporting],
+            idle=r.gateways.idle,
+        )
+        return msgpack.encode(state), self.fds
+
+    def stream(self, stream: Stream) -> OfStream:
+        self.fds.append(stream.sock.fileno())
+        return OfStream(
+            len(self.fds) - 1, bytes(stream.out), stream.queued, stream.sent, stream.last, stream.reading,
+            stream.connecting, stream.reason,
+        )  # fmt: skip
+
+    def connection(self, c: Connection, known: dict[Routed, int]) -> OfConnection:
+        counts = {name: getattr(c, name) for name in COUNTS}
+        return OfConnection(
+            self.stream(c.stream), c.reader.rest, counts, {n: known[rpc] for n, rpc in c.rpcs.items()}
+        )
+
+    def rpc(self, rpc: Routed, places: dict[Entry, int]) -> OfRpc:
+        site = self.router.site
+        connection = self.router.gateways.table.get(rpc.connection)
+        command = rpc.command
+        return OfRpc(
+            method=site.settings.methods.index(rpc.method),
+            tenant=next((name for name, t in site.tenants.items() if t is rpc.tenant), None),
+            own={name: getattr(rpc, name) for name in OWN},
+            facts={name: getattr(rpc, name) for name in FACTS},
+            connection=self.connections.index(connection) if connection is not None else -1,
+            command=[command.data, command.runs, command.end, command.doubt, command.held_back]
+            if command is not None
+            else None,
+            entry=places[rpc.original] if rpc.original is not None else -1,
+            waits=rpc.original is not None and rpc in rpc.original.waiting,
+            stale=[i for i, link in enumerate(self.links) if link in rpc.stale],
+        )
+
+    def link(self, link: Link, known: dict[Routed, int]) -> OfLink:
+        assert link.stream is not None
+        calls = [[known[c.rpc], c.start, c.end, c.timer.at if c.timer else 0.0] for c in link.calls.values()]
+        fresh = link in self.router.database.links
+        return OfLink(self.stream(link.stream), bytes(link.reader.lines.buffer), fresh, calls)
+
+    def engine(self, known: dict[Routed, int]) -> OfEngine:
+        e = self.router.engine
+        return OfEngine(
+            self.stream(e.stream) if e.stream is not None else None,
+            bytes(e.reader.lines.buffer),
+            {name: getattr(e, name) for name in LINK},
+            list(e.stats) if e.stats is not None else None,
+            [known[c.rpc] for c in e.unsure if c.rpc.command is c and not c.rpc.closed],
+        )
+
+
+# Taking
+
+
+class Taker:
+    """Makes a router that goes on from a state; nothing is read or written before the loop's next pass."""
+
+    def __init__(self, data: bytes, fds: list[int]) -> None:
+        """Takes the descriptors over. Raises msgspec.DecodeError for what is no state."""
+        self.state = msgpack.decode(data, type=State)
+        self.socks = [socket.socket(fileno=fd) for fd in fds]
+        for sock in self.socks:
+            sock.setblocking(False)
+
+    def take(self, loop: Loop, site: Site, report: Callable[..., None]) -> Router:
+        """Raises CannotMove where the settings do not fit what is in hand."""
+        st = self.state
+        for told in st.rpcs:
+            if told.method >= len(site.settings.methods) or (
+                told.tenant is not None and told.tenant not in site.tenants
+            ):
+                raise CannotMove("an RPC in hand has a method or tenant that the new settings lack")
+        self.loop, self.site = loop, site
+        self.router = r = Router(loop, site, report, self.socks[0])
+        self.rpcs = [self.rpc(one) for one in st.rpcs]
+        connections = [self.connection(one) for one in st.connections]
+        for rpc, one in zip(self.rpcs, st.rpcs, strict=True):
+            rpc.connection = connections[one.connection].slot if one.connection >= 0 else -1
+            if not rpc.closed:
+                rpc.slot = r.rpcs.put(rpc)
+                r.by_id[rpc.rid] = rpc.slot
+        self.entries()
+        links = [self.link(one) for one in st.links]
+        for rpc, one in zip(self.rpcs, st.rpcs, strict=True):
+            rpc.stale = [links[i] for i in one.stale if i < len(links)]
+        self.engine()
+        r.told, r.draining = st.told, st.draining
+        if st.module is not None:
+            settings = replace(site.settings, cold=st.cold)
+            r.server = Server(settings, site.seed, r, loop.now)
+            r.server.now = loop.now
+            jobs = r.server.take(st.module, list(self.rpcs[: st.jobs]))
+            for mine, job in zip(self.rpcs, jobs, strict=False):
+                mine.job = None if mine.closed else job
+        r.gateways.idle = st.idle
+        for connection in connections:
+            connection.rest()
+        r.health_state.good, r.health_state.cheap, reporting = st.health
+        if reporting:
+            r.health_state.start()
+        return r
+
+    def stream(self, one: OfStream, owner: Any, bound: int, **more: Any) -> Stream:
+        stream = Stream(self.loop, self.socks[one.fd], owner, bound, one.connecting, **more)
+        stream.out += one.out
+        stream.queued, stream.sent, stream.last = one.queued, one.sent, one.last
+        stream.reading, stream.reason = one.reading, one.reason
+        if stream.unsent:
+            stream.unsent.bytes += len(one.out)
+        if one.reason:
+            stream.timer = self.loop.after(LINGER, lambda: stream.close(one.reason))
+        stream.watch()
+        if one.out:
+            self.loop.dirty[stream] = None
+        return stream
+
+    def rpc(self, one: OfRpc) -> Routed:
+        method = self.site.settings.methods[one.method]
+        tenant = self.site.tenants[one.tenant] if one.tenant is not None else None
+        own = dict(one.own)
+        own["subject"] = tuple(own["subject"]) if own["subject"] is not None else None
+        rpc = Routed(method=method, tenant=tenant, connection=-1, **one.facts, **own)
+        if one.command is not None:
+            rpc.command = Command(rpc, *one.command)
+        return rpc
+
+    def connection(self, one: OfConnection) -> Connection:
+        gateways = self.router.gateways
+        connection = Connection(
+            gateways, lambda c: self.stream(one.stream, c, GATEWAY_BOUND, unsent=gateways.unsent, reads=1)
+        )
+        connection.reader.rest = one.rest
+        for name, value in one.counts.items():
+            setattr(connection, name, value)
+        connection.rpcs = {number: self.rpcs[i] for number, i in one.rpcs.items()}
+        if not one.stream.reading and connection.rpcs:
+            self.loop.after(RESET, connection.stream.check)
+        return connection
+
+    def entries(self) -> None:
+        kept, made = self.router.kept, []
+        for one in self.state.entries:
+            outcome = Outcome(one.outcome) if one.outcome is not None else None
+            entry = Entry(
+                self.rpcs[one.owner], one.until, outcome, one.ended, result=one.result, work=one.work
+            )
+            subject = entry.owner.subject
+            assert subject is not None
+            kept.entries[subject] = entry
+            kept.bytes += ENTRY + len(one.result or b"")
+            made.append(entry)
+        for rpc, of in zip(self.rpcs, self.state.rpcs, strict=True):
+            if of.entry >= 0:
+                rpc.original = made[of.entry]
+                if of.waits:
+                    made[of.entry].waiting[rpc] = None
+
+    def link(self, one: OfLink) -> Link:
+        pool = self.router.database
+        link = Link(pool, lambda link: self.stream(one.stream, link, DATABASE_BOUND))
+        link.reader.lines.buffer += one.buffer
+        if one.fresh:
+            pool.links.append(link)
+        if one.buffer:
+            link.half = self.loop.after(WHOLE, lambda: link.close("unfinished"))
+        for i, start, end, at in one.calls:
+            rpc = self.rpcs[i]
+            rpc.call = call = Call(rpc, link, start, end)
+            link.calls[rpc.rid] = call
+            call.timer = self.loop.after(max(0.0, at - self.loop.now), lambda call=call: pool.timeout(call))  # type: ignore[misc]
+        return link
+
+    def engine(self) -> None:
+        e, one = self.router.engine, self.state.engine
+        for name, value in one.plain.items():
+            if hasattr(e, name):
+                setattr(e, name, value)
+        e.reader = engine_wire.Reader()
+        e.reader.lines.buffer += one.buffer
+        e.stats = (one.stats[0], one.stats[1]) if one.stats is not None else None
+        e.unsure.extend(c for c in (self.rpcs[i].command for i in one.unsure) if c is not None)
+        if one.stream is not None:
+            e.stream = self.stream(one.stream, e, ENGINE_BOUND)
+        else:
+            e.next = self.loop.after(RETRY, e.attach)
--- a/landingshift/net/routing/database.py
+++ b/landingshift/net/routing/database.py
@@ -29,11 +29,11 @@
 
 
 class Link:
-    def __init__(self, pool: Database) -> None:
+    def __init__(self, pool: Database, make: Callable[[Link], Stream | str]) -> None:
         self.pool, self.reader = pool, wire.Reader()
         self.calls: dict[bytes, Call] = {}
         self.half: Timer | None = None  # set while a reply has begun and is not whole
-        stream = connect(pool.loop, pool.address, self, BOUND) if pool.address else "unreachable"
+        stream = make(self)
         self.stream = stream if isinstance(stream, Stream) else None
         if self.stream:
             pool.open += 1
@@ -108,12 +108,15 @@
             fit, key=lambda one: (len(one.calls), -one.stream.last if one.stream else 0.0), default=None
         )
         if (best is None or best.calls) and len(self.links) < LINKS and self.open < LINKS + OLD:
-            best = Link(self)
+            best = Link(self, self.connect)
             if best.stream is None:
                 return None
             self.links.append(best)
         return best
 
+    def connect(self, link: Link) -> Stream | str:
+        return connect(self.loop, self.address, link, BOUND) if self.address else "unreachable"
+
     def call(self, rpc: Routed, allow: float) -> bool:
         """False where it is known at once that nothing ran."""
         link = self.link(rpc)
--- a/landingshift/net/routing/engine.py
+++ b/landingshift/net/routing/engine.py
@@ -41,7 +41,10 @@
 
 
 class Engine:
-    def __init__(self, loop: Loop, address: Address, news: News, log: Callable[..., None]) -> None:
+    def __init__(
+        self, loop: Loop, address: Address, news: News, log: Callable[..., None], attach: bool = True
+    ) -> None:
+        """`attach` False: the link comes from another build."""
         self.loop, self.address, self.news, self.log = loop, address, news, log
         self.last = 0  # number of the last notice read
         self.links = self.tags = 0
@@ -54,7 +57,8 @@
         self.stats: tuple[bytes, int] | None = None  # the tag that is out and what was written before it
         self.tests: dict[bytes, Callable[[bool], None]] = {}
         self.heard = loop.now  # when all that was asked had last been answered
-        self.attach()
+        if attach:
+            self.attach()
         loop.after(SILENT / 2.0, self.listen)
 
     # The link
@@ -124,10 +128,13 @@
         for command in self.unsure:
             command.doubt = command.doubt or 0 <= command.end <= sent
             command.end = -1
+        self.give_up_tests()
+        self.next = self.loop.after(0.0 if at_once else RETRY, self.attach)
+
+    def give_up_tests(self) -> None:
         tests, self.tests = self.tests, {}
         for told in tests.values():
             told(self.working)
-        self.next = self.loop.after(0.0 if at_once else RETRY, self.attach)
 
     # What it tells
 
--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -30,7 +30,8 @@
 
 
 class Connection:
-    def __init__(self, gateways: Gateways, sock: socket.socket) -> None:
+    def __init__(self, gateways: Gateways, stream: Callable[[Connection], Stream]) -> None:
+        """`stream` makes the connection's own."""
         self.gateways, self.reader = gateways, wire.Reader()
         self.rpcs: dict[int, Routed] = {}  # open, by message number
         self.read = self.probes = self.bad = 0
@@ -41,7 +42,7 @@
             gateways.loop.now
         )  # since when it is here, and its last whole message or answer
         self.half = 0.0  # when the message that is not whole yet began
-        self.stream = Stream(gateways.loop, sock, self, BOUND, unsent=gateways.unsent, reads=1)
+        self.stream = stream(self)
         self.slot = gateways.table.put(self)
         self.turn = gateways.loop.turns
         self.timer = gateways.loop.after(QUIET, self.rest)
@@ -159,16 +160,17 @@
         idle: float,
         news: News,
         log: Callable[..., None],
+        sock: socket.socket | None = None,
     ) -> None:
         self.loop, self.most, self.news, self.log = loop, most, news, log
         self.callers_close, self.idle = idle, idle * SILENT
         self.table: Slots[Connection] = Slots()
         self.unsent = Unsent(unsent, self.let_go)
         self.full = False
-        self.listener = Listener(loop, address, self.room, self.accept)
+        self.listener = Listener(loop, address, self.room, self.accept, sock)
 
     def accept(self, sock: socket.socket) -> None:
-        Connection(self, sock)
+        Connection(self, lambda c: Stream(self.loop, sock, c, BOUND, unsent=self.unsent, reads=1))
         if len(self.table) > self.most:
             self.make_room()
         if self.full:
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 import traceback
 from collections import deque
@@ -59,7 +60,10 @@
 
 
 class Router:
-    def __init__(self, loop: Loop, site: Site, report: Callable[..., None]) -> None:
+    def __init__(
+        self, loop: Loop, site: Site, report: Callable[..., None], listener: socket.socket | None = None
+    ) -> None:
+        """`listener`: from another build, which also has the link to the engine."""
         self.loop, self.site, self.report = loop, site, report
         self.server: Server | None = None
         self.rpcs: Slots[Routed] = Slots()
@@ -79,9 +83,10 @@
             idle=site.settings.link_idle,
             news=self,
             log=report,
+            sock=listener,
         )
         self.database = Database(loop, site.database, self.called, report)
-        self.engine = Engine(loop, site.engine, self, report)
+        self.engine = Engine(loop, site.engine, self, report, attach=listener is None)
         self.health_state = Health(loop, site.name, Datagrams(site.roster), self.engine, site.deep_checks)
         self.draining = False
         self.taps = Taps(report)
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -208,13 +208,17 @@
         address: Address,
         room: Callable[[bool], bool],
         take: Callable[[socket.socket], None],
+        sock: socket.socket | None = None,
     ) -> None:
+        """`sock`: one that listens already, with its backlog."""
         self.loop, self.room, self.take, self.open = loop, room, take, True
-        self.sock = socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if sock is None:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen(BACKLOG)
+        self.sock = sock
         self.sock.setblocking(False)
-        self.sock.bind(address)
-        self.sock.listen(BACKLOG)
         self.address: Address = self.sock.getsockname()
         loop.watch(self.sock.fileno(), EVENT_READ, self)
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,14 +1,19 @@
 """The plan of a handover, its carrier and its journal."""
 
 import array
+import contextlib
 import os
 import random
 import signal
 import socket
+import time
+import traceback
 import unittest
+from dataclasses import replace
 from itertools import product
 from typing import Any
 
+import msgpack as msgpack_
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec import msgpack
@@ -17,8 +22,12 @@
 from landingshift.handover.carrier import HEAD, MOST, BadCarrier, Carrier, Frame
 from landingshift.handover.journal import Full, Journal, Kind
 from landingshift.handover.plan import NEW_IN_CHARGE, OLD_IN_CHARGE, TABLE, Event, Limits, Order, Plan, Stage
+from landingshift.handover.state import CannotMove, Giver, Taker
 from landingshift.interface import Advert, Below, Effect, Gauges, Method, Outcome, Rpc, Tenant
-from tests.helpers import Bench
+from landingshift.net.program.config import site as read_site
+from landingshift.net.routing.router import Router
+from landingshift.net.transport.loop import Loop
+from tests.helpers import CONFIG, Bench, Peer
 
 WAY = [Event.ASKED, Event.READY, Event.REHEARSAL, Event.MOVE, Event.TOOK]
 
@@ -300,5 +309,187 @@
         self.assertEqual(new.server.pushed.count, len(new.server.pushed.buckets))
 
 
+class Moving(unittest.TestCase):
+    """A router made from another's state and descriptors, in one process; the peers notice nothing."""
+
+    def setUp(self) -> None:
+        self.doors = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+        self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.roster.bind(("127.0.0.1", 0))
+        for sock in (*self.doors, self.roster):
+            sock.settimeout(5.0)
+            self.addCleanup(sock.close)
+        at = "{}:{}".format
+        places = [at(*s.getsockname()) for s in (*self.doors, self.roster)]
+        change = dict(zip(("engine", "db", "roster"), places, strict=True))
+        self.site = read_site(CONFIG | change, {})
+        self.faults: list[str] = []
+        self.loop = self.new_loop()
+        self.router = Router(self.loop, self.site, self.log)
+        self.addCleanup(lambda: self.hang_up(self.router))
+        self.pump()
+        self.engine = self.peer(self.doors[0].accept()[0])
+        self.pump()
+        self.assertEqual(self.engine.line()[0], ["ATTACH", "0"])
+        self.engine.send(b"HELLO old 60000\r\n")
+        self.pump()
+        self.assertEqual(self.engine.line()[0], ["STAT", "s1"])
+        self.engine.send(b"STATS s1 0.2 1 0.1 3\r\n")
+        self.pump()
+        self.unpacker = msgpack_.Unpacker()
+        self.ids = 0
+
+    def log(self, event: str, **fields: Any) -> None:
+        if event in ("fault", "engine_no", "notices_missing"):
+            self.faults.append(f"{event} {fields}")
+
+    def new_loop(self) -> Loop:
+        return Loop(lambda: self.faults.append(traceback.format_exc()))
+
+    def peer(self, sock: socket.socket) -> Peer:
+        peer = Peer.__new__(Peer)
+        peer.sock, peer.buffer = sock, b""
+        sock.settimeout(5.0)
+        self.addCleanup(sock.close)
+        return peer
+
+    def pump(self, ms: float = 15.0) -> None:
+        end = self.loop.clock() + ms
+        self.loop.after(ms, lambda: None)
+        while self.loop.clock() < end:
+            self.loop.turn()
+
+    def gateway(self) -> socket.socket:
+        sock = socket.create_connection(self.router.gateways.listener.address)
+        sock.settimeout(5.0)
+        self.addCleanup(sock.close)
+        return sock
+
+    def rpc(self, method: str, body: bytes, **fields: str) -> bytes:
+        self.ids += 1
+        told = {"id": f"{self.ids:016x}", "at": str(int(time.time() * 1000)), "from": "4", "tenant": "t",
+                "wait": "2000", "kb": "10", **fields}  # fmt: skip
+        return bytes(msgpack_.packb([0, self.ids, method, [told, body]]))
+
+    def command(self) -> tuple[list[str], bytes]:
+        for _ in range(50):
+            self.pump(5.0)
+            words, body = self.engine.line()
+            if words[0] != "STAT":
+                return words, body
+            self.engine.send(f"STATS {words[1]} 0.2 1 0.1 3\r\n".encode())
+        raise TimeoutError
+
+    def answers(self, sock: socket.socket, count: int) -> dict[int, Any]:
+        found: dict[int, Any] = {}
+        sock.settimeout(0.02)
+        for _ in range(100):
+            self.pump(5.0)
+            with contextlib.suppress(TimeoutError):
+                self.unpacker.feed(sock.recv(65536))
+            for kind, number, error, result in self.unpacker:
+                self.assertEqual(kind, 1)
+                self.assertNotIn(number, found, "answered twice")
+                found[number] = error[0] if error else result[0]
+            if len(found) >= count:
+                return found
+        return found
+
+    def hang_up(self, router: Router) -> None:
+        """Closes a router's copies of its descriptors without a word to the peers."""
+        streams = [c.stream for c in router.gateways.table]
+        streams += [link.stream for link in router.database.links if link.stream]
+        streams += [router.engine.stream] if router.engine.stream else []
+        for stream in streams:
+            stream.sock.close()
+        router.gateways.listener.sock.close()
+        router.health_state.roster.sock.close()
+        router.loop.selector.close()
+
+    def move(self) -> None:
+        data, fds = Giver(self.router).give()
+        copies = [os.dup(fd) for fd in fds]
+        old = self.router
+        self.loop = self.new_loop()
+        self.router = Taker(data, copies).take(self.loop, self.site, self.log)
+        self.hang_up(old)
+
+    def test_everything_in_hand_goes_on(self) -> None:
+        g = self.gateway()
+        g.sendall(self.rpc("m", b"runs") + self.rpc("m", b"calls") + self.rpc("token", b"kept", once="k"))
+        for _ in range(3):
+            self.command()
+        self.engine.send(b"NEED 1 %016x 4\r\nbody\r\n" % 2)
+        self.pump(60.0)
+        database = self.peer(self.doors[1].accept()[0])
+        self.pump()
+        self.assertEqual(database.line()[0][:2], ["Q", f"{2:016x}"])
+        self.engine.send(b"DONE 2 %016x good 5 4\r\ntold\r\n" % 3)
+        self.assertEqual(self.answers(g, 1), {3: b"told"})
+        half = self.rpc("m", b"half")
+        g.sendall(half[:50])
+        self.engine.send(b"DONE 3 %016x good 5 4\r\nr" % 1)  # a notice that is not whole
+        database.send(b"%016x ROWS 5\r\nre" % 2)
+        self.pump()
+        for _ in range(3):  # and again, and again
+            self.move()
+        self.engine.send(b"uns\r\n")
+        database.send(b"ply\r\n")
+        self.assertEqual(self.command(), (["FEED", f"{2:016x}"], b"reply"))
+        g.sendall(half[50:] + self.rpc("token", b"kept", once="k"))
+        self.assertEqual(self.command(), (["RUN", f"{4:016x}", "m"], b"half"))
+        self.engine.send(b"DONE 4 %016x good 5 1\r\nx\r\nDONE 5 %016x bad 5 0\r\n\r\n" % (2, 4))
+        self.assertEqual(self.answers(g, 4), {1: b"runs", 2: b"x", 4: "Failed", 5: b"told"})
+        self.assertEqual(self.faults, [])
+        self.assertEqual((len(self.router.rpcs), len(self.router.by_id)), (0, 0))
+
+    def test_deadlines_and_a_drain_move_as_they_are(self) -> None:
+        g = self.gateway()
+        g.sendall(self.rpc("m", b"late", wait="300"))
+        self.command()
+        begun = self.loop.clock()
+        self.router.drain()
+        self.pump(100.0)
+        self.move()
+        self.assertTrue(self.router.draining)
+        self.assertEqual(self.answers(g, 1), {1: "Failed"})
+        self.assertLess(self.loop.clock() - begun, 330.0)
+        self.assertEqual(self.faults, [])
+
+    def test_the_listener_keeps_its_backlog(self) -> None:
+        waiting = self.gateway()  # connected, not accepted
+        waiting.sendall(self.rpc("m", b"early"))
+        self.move()
+        self.assertEqual(self.command(), (["RUN", f"{1:016x}", "m"], b"early"))
+        self.engine.send(b"DONE 1 %016x good 5 2\r\nok\r\n" % 1)
+        self.assertEqual(self.answers(waiting, 1), {1: b"ok"})
+
+    def test_unsent_bytes_go_out_once(self) -> None:
+        g = self.gateway()
+        g.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sizes = 30
+        g.sendall(b"".join(self.rpc("m", b"%d" % i) for i in range(sizes)))
+        for i in range(sizes):
+            self.command()
+            self.engine.send(b"DONE %d %016x good 5 4000\r\n%b\r\n" % (i + 1, i + 1, b"%04d" % i * 1000))
+        self.pump(30.0)
+        connection = next(iter(self.router.gateways.table))
+        connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        self.move()
+        found = self.answers(g, sizes)
+        self.assertEqual(found, {i + 1: b"%04d" % i * 1000 for i in range(sizes)})
+
+    def test_the_old_one_goes_on_if_the_new_one_does_not_take(self) -> None:
+        g = self.gateway()
+        g.sendall(self.rpc("m", b"runs"))
+        self.command()
+        data, fds = Giver(self.router).give()
+        lacking = replace(self.site, settings=replace(self.site.settings, methods=[]), methods={})
+        with self.assertRaisesRegex(CannotMove, "method"):
+            Taker(data, [os.dup(fd) for fd in fds]).take(self.new_loop(), lacking, self.log)
+        self.engine.send(b"DONE 1 %016x good 5 2\r\nok\r\n" % 1)
+        self.assertEqual(self.answers(g, 1), {1: b"ok"})
+
+
 if __name__ == "__main__":
     unittest.main()
