--- a/landingshift/lab/ledger.py
+++ b/landingshift/lab/ledger.py
@@ -112,6 +112,15 @@
                 self.count(self.uses.pop(n))
             self.outbox.ack(batch.number)
 
+    def say_again(self) -> None:
+        """The batch that could not be committed."""
+        batch = self.outbox.again()[0]
+        with self.store.changing() as book:
+            book.take(batch, self.now)
+        for n in batch.sent:
+            self.count(self.uses.pop(n))
+        self.outbox.ack(batch.number)
+
     def crash(self) -> None:
         self.crashes += 1
         points.arm("")
@@ -344,12 +353,7 @@
         failed = 1
     must(row, failed == 1, "the disk was not full")
     world.store.db.execute("PRAGMA max_page_count = 1000000000")
-    batch = world.outbox.again()[0]
-    with world.store.changing() as book:
-        book.take(batch, world.now)
-    for n in batch.sent:
-        world.count(world.uses.pop(n))
-    world.outbox.ack(batch.number)
+    world.say_again()
     world.commit()
     world.check(row)
     world.store.close()
@@ -367,11 +371,7 @@
     except sqlite3.Error:
         must(row, stored(world.store) == before, "a commit that failed changed the totals")
     world.store.db.execute("PRAGMA query_only = OFF")
-    batch = world.outbox.again()[0]
-    with world.store.changing() as book:
-        book.take(batch, world.now)
-    for n in batch.sent:
-        world.count(world.uses.pop(n))
+    world.say_again()
     world.check(row)
     world.store.close()
 
--- a/landingshift/lab/stage.py
+++ b/landingshift/lab/stage.py
@@ -107,6 +107,9 @@
     def close(self) -> None:
         self.open = False
         self.kill()
+        for pipe in (self.process.stdout, self.process.stderr) if self.process else ():
+            if pipe is not None:
+                pipe.close()
         self.engine_door.close()
         self.roster.close()
 
--- a/landingshift/ledger/merged.py
+++ b/landingshift/ledger/merged.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Iterable, Iterator
-from contextlib import contextmanager
+from collections.abc import Iterable
+from contextlib import AbstractContextManager
 from pathlib import Path
 
-from landingshift import points
 from landingshift.ledger.entries import (
     START,
     Closed,
@@ -22,7 +21,7 @@
 )
 from landingshift.ledger.merge import Brought, Fit, counted, fit, parted
 from landingshift.ledger.periods import Calendar, Unit
-from landingshift.ledger.store import BadStore, connect
+from landingshift.ledger.store import BadStore, connect, transaction
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value) WITHOUT ROWID;
@@ -66,18 +65,8 @@
             raise BadStore(f"{path}: {err}") from err
         self.calendar = Calendar(zone, unit)
 
-    @contextmanager
-    def writing(self) -> Iterator[None]:
-        self.db.execute("BEGIN IMMEDIATE")
-        try:
-            yield
-            points.reach("ledger.merge")
-            self.db.execute("COMMIT")
-            points.reach("ledger.merged")
-        except BaseException:
-            if self.db.in_transaction:
-                self.db.execute("ROLLBACK")
-            raise
+    def writing(self) -> AbstractContextManager[None]:
+        return transaction(self.db, "ledger.merge", "ledger.merged")
 
     # Lines
 
--- a/landingshift/ledger/store.py
+++ b/landingshift/ledger/store.py
@@ -11,7 +11,7 @@
 import sqlite3
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from pathlib import Path
 
 from landingshift import points
@@ -145,19 +145,9 @@
         row = self.db.execute("SELECT value FROM meta WHERE key = ?", (key,)).fetchone()
         return row[0] if row else None
 
-    @contextmanager
-    def writing(self) -> Iterator[None]:
+    def writing(self) -> AbstractContextManager[None]:
         """All or nothing; another process's commit before it is seen."""
-        self.db.execute("BEGIN IMMEDIATE")
-        try:
-            yield
-            points.reach("ledger.commit")
-            self.db.execute("COMMIT")
-            points.reach("ledger.committed")
-        except BaseException:
-            if self.db.in_transaction:
-                self.db.execute("ROLLBACK")
-            raise
+        return transaction(self.db, "ledger.commit", "ledger.committed")
 
     @contextmanager
     def changing(self) -> Iterator[Book]:
@@ -389,6 +379,21 @@
     return found
 
 
+@contextmanager
+def transaction(db: sqlite3.Connection, before: str, after: str) -> Iterator[None]:
+    """`before` and `after` name the points on both sides of the commit."""
+    db.execute("BEGIN IMMEDIATE")
+    try:
+        yield
+        points.reach(before)
+        db.execute("COMMIT")
+        points.reach(after)
+    except BaseException:
+        if db.in_transaction:
+            db.execute("ROLLBACK")
+        raise
+
+
 def connect(path: str) -> sqlite3.Connection:
     try:
         Path(path).parent.mkdir(parents=True, exist_ok=True, mode=0o700)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import random
+import select
 import signal
 import socket
 import time
@@ -100,7 +101,7 @@
                 if after in NEW_IN_CHARGE and before not in NEW_IN_CHARGE:
                     self.assertEqual((before, orders[0]), (Stage.MOVED, Order.GO))
 
-    @settings(max_examples=300, deadline=None)
+    @settings(max_examples=300)
     @given(st.lists(st.tuples(st.sampled_from(Event), st.floats(0.0, 600.0)), max_size=40))
     def test_whatever_happens_one_is_in_charge_or_time_ends_it(
         self, events: list[tuple[Event, float]]
@@ -327,12 +328,12 @@
         self.loop = self.new_loop()
         self.router = Router(self.loop, self.site, self.log)
         self.addCleanup(lambda: self.hang_up(self.router))
-        self.pump()
+        self.wait_for(self.doors[0])
         self.engine = self.peer(self.doors[0].accept()[0])
-        self.pump()
+        self.wait_for(self.engine)
         self.assertEqual(self.engine.line()[0], ["ATTACH", "0"])
         self.engine.send(b"HELLO old 60000\r\n")
-        self.pump()
+        self.wait_for(self.engine)
         self.assertEqual(self.engine.line()[0], ["STAT", "s1"])
         self.engine.send(b"STATS s1 0.2 1 0.1 3\r\n")
         self.pump()
@@ -359,6 +360,14 @@
         while self.loop.clock() < end:
             self.loop.turn()
 
+    def wait_for(self, there: socket.socket | Peer) -> None:
+        """Lets the router go on until something has come."""
+        sock, buffer = (there.sock, there.buffer) if isinstance(there, Peer) else (there, b"")
+        for _ in range(1000):
+            if b"\r\n" in buffer or select.select([sock], [], [], 0.0)[0]:
+                return
+            self.pump(5.0)
+
     def gateway(self) -> socket.socket:
         sock = socket.create_connection(self.router.gateways.listener.address)
         sock.settimeout(5.0)
@@ -374,6 +383,7 @@
     def command(self) -> tuple[list[str], bytes]:
         for _ in range(50):
             self.pump(5.0)
+            self.wait_for(self.engine)
             words, body = self.engine.line()
             if words[0] != "STAT":
                 return words, body
@@ -420,9 +430,9 @@
         for _ in range(3):
             self.command()
         self.engine.send(b"NEED 1 %016x 4\r\nbody\r\n" % 2)
-        self.pump(60.0)
+        self.wait_for(self.doors[1])
         database = self.peer(self.doors[1].accept()[0])
-        self.pump()
+        self.wait_for(database)
         self.assertEqual(database.line()[0][:2], ["Q", f"{2:016x}"])
         self.engine.send(b"DONE 2 %016x good 5 4\r\ntold\r\n" % 3)
         self.assertEqual(self.answers(g, 1), {3: b"told"})
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -59,7 +59,7 @@
                 else:
                     self.assertRaises(BadPeriod, calendar.named, name)
 
-    @settings(max_examples=200, deadline=None)
+    @settings(max_examples=200)
     @given(
         st.sampled_from(["UTC", "Europe/Copenhagen", "America/Havana", "Africa/Cairo", "Pacific/Apia"]),
         st.sampled_from(["day", "week", "month"]),
