The command says which extra it lacks, with exit status 2

Need: a server is installed without click, and `landingshift` or a sub-command then ended with Python's own trace.

Change: the entry point loads the commands itself and names the extra `cli`.

Measured: without click, `python -m landingshift check x` ends with one line and status 2; a test takes click away and sees the same. Without arguments it serves as before.

--- a/landingshift/__main__.py
+++ b/landingshift/__main__.py
@@ -4,9 +4,9 @@
 import sys
 
 if len(sys.argv) > 1:
-    from landingshift.cli.main import main as commands
+    from landingshift.cli import start
 
-    commands()
+    start()
 else:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # by default it ends a program that is still being loaded
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -73,6 +73,13 @@
             self.assertIn("seed", result.output)
 
 
+class Extra(unittest.TestCase):
+    def test_without_click_the_command_says_what_is_missing(self) -> None:
+        code = "import sys; sys.modules['click'] = None; from landingshift.cli import start; start()"
+        found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+        self.assertEqual((found.returncode, "extra `cli`" in found.stderr), (2, True), found.stderr)
+
+
 class Watching(unittest.TestCase):
     def test_an_observer_that_raises_is_cut_off_and_the_others_go_on(self) -> None:
         heard: list[Any] = []
