Ledger: one rule for the period a use counts in, one reader of ranges, no dead exports

Need: reading the change again, the book, the records for the receiver and the merged ledger each worked out the period of a use by lines of their own; ranges were taken apart in three places; lists of exports kept imports alive that nobody uses.

Change: `Calendar.counts_in` and `entries.pairs` serve them all; the exports are gone. The audit keeps its own reckoning on purpose, since it checks the book's.

--- a/landingshift/ledger/book.py
+++ b/landingshift/ledger/book.py
@@ -19,7 +19,6 @@
     Correction,
     Entry,
     Gap,
-    Kind,
     Name,
     Opened,
     Raw,
@@ -147,9 +146,7 @@
         self.add(use.at, use.tenant, use.method, (1, use.work, use.size_in, use.size_out))
 
     def add(self, at: int, tenant: int, method: int, sums: tuple[int, int, int, int]) -> None:
-        belongs = self.calendar.at(at).name
-        period = belongs if at >= self.closed_until else self.calendar.at(self.closed_until).name
-        place = period, belongs if belongs != period else "", tenant, method
+        place = *self.calendar.counts_in(at, self.closed_until), tenant, method
         total = self.step.totals.get(place)
         if total is None:
             self.step.totals[place] = list(sums)
@@ -275,6 +272,3 @@
     for row in sorted(map(encode, totals)):
         h.update(row)
     return h.digest()
-
-
-__all__ = ["Book", "Kind", "Refused", "Row", "Step", "digest"]
--- a/landingshift/ledger/entries.py
+++ b/landingshift/ledger/entries.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from enum import IntEnum
 from hashlib import blake2b
 from typing import Any
@@ -158,10 +159,12 @@
     return out
 
 
+def pairs(spans: list[int]) -> Iterator[tuple[int, int]]:
+    return zip(spans[::2], spans[1::2], strict=True)
+
+
 def numbers(spans: list[int]) -> list[int]:
-    return [
-        n for first, count in zip(spans[::2], spans[1::2], strict=True) for n in range(first, first + count)
-    ]
+    return [n for first, count in pairs(spans) for n in range(first, first + count)]
 
 
 # Between the server and the process that keeps the store
--- a/landingshift/ledger/exchange.py
+++ b/landingshift/ledger/exchange.py
@@ -121,6 +121,3 @@
         if not more:
             break
     return Brought(instance, total, line, max(0, merged.head(line) - newest))
-
-
-__all__ = ["Entry", "Peer", "bring", "serve"]
--- a/landingshift/ledger/merged.py
+++ b/landingshift/ledger/merged.py
@@ -201,8 +201,7 @@
         entry = self.entry(line, number)
         if not isinstance(entry, Use):
             raise BadStore(f"{line}: entry {number} is no use")
-        belongs = self.calendar.at(entry.at).name
-        period = belongs if entry.at >= until else self.calendar.at(until).name
+        period, belongs = self.calendar.counts_in(entry.at, until)
         self.db.execute(
             "INSERT OR IGNORE INTO uses VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, 0)",
             (
@@ -211,7 +210,7 @@
                 line,
                 number,
                 period,
-                "" if belongs == period else belongs,
+                belongs,
                 self.name(line, entry.tenant),
                 self.name(line, entry.method),
                 entry.work,
@@ -273,6 +272,3 @@
     except sqlite3.Error as err:
         raise BadStore(f"{path}: {err}") from err
     return Brought(str(row[0]), new, line, max(0, merged.head(line) - newest))
-
-
-__all__ = ["Merged", "bring_file"]
--- a/landingshift/ledger/periods.py
+++ b/landingshift/ledger/periods.py
@@ -37,6 +37,14 @@
             self.last = self.of(datetime.fromtimestamp(ms / 1000.0, UTC).astimezone(self.zone).date())
         return self.last
 
+    def counts_in(self, at: int, until: int) -> tuple[str, str]:
+        """The period in which a use of this time counts, and the one it belongs to where that is another.
+
+        `until`: end of the last period that was closed when it was settled.
+        """
+        belongs = self.at(at).name
+        return (belongs, "") if at >= until else (self.at(until).name, belongs)
+
     def named(self, name: str) -> Period:
         match = re.fullmatch(NAMES[self.unit], name)
         try:
--- a/landingshift/ledger/records.py
+++ b/landingshift/ledger/records.py
@@ -10,12 +10,11 @@
     Closed,
     Correction,
     Kind,
-    Opened,
     Resolved,
     Settled,
     Use,
     decode,
-    numbers,
+    pairs,
 )
 from landingshift.ledger.export_pb2 import Batch, Record
 from landingshift.ledger.store import Store
@@ -84,12 +83,11 @@
         match entry:
             case Settled(counted=spans) | Resolved(billed=spans):
                 until = self.until(number)
-                for first, count in zip(spans[::2], spans[1::2], strict=True):
+                for first, count in pairs(spans):
                     for at, kind, data, _ in self.store.rows(first, first + count - 1):
                         use = decode(kind, data)
                         assert isinstance(use, Use)
-                        belongs = calendar.at(use.at).name
-                        period = belongs if use.at >= until else calendar.at(until).name
+                        period, belongs = calendar.counts_in(use.at, until)
                         batch.records.append(
                             Record(
                                 kind=Record.USE,
@@ -98,7 +96,7 @@
                                 tenant=self.name(use.tenant),
                                 method=self.name(use.method),
                                 period=period,
-                                belongs="" if belongs == period else belongs,
+                                belongs=belongs,
                                 uses=1,
                                 work_us=use.work,
                                 size_in=use.size_in,
@@ -127,6 +125,3 @@
                 batch.records.append(
                     Record(kind=Record.CLOSE, id=number, at_ms=entry.at, period=entry.period)
                 )
-
-
-__all__ = ["Exporting", "Opened", "numbers"]
--- a/landingshift/ledger/service.py
+++ b/landingshift/ledger/service.py
@@ -340,6 +340,3 @@
     host.router.gate = ledger
     host.router.taps.add(ledger)
     return ledger
-
-
-__all__ = ["Ledger", "attach"]
--- a/landingshift/ledger/statements.py
+++ b/landingshift/ledger/statements.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from landingshift.ledger.book import Refused
-from landingshift.ledger.entries import Correction, Kind, Opened, Resolved, Settled, Use, decode
+from landingshift.ledger.entries import Correction, Kind, Opened, Resolved, Settled, Use, decode, pairs
 from landingshift.ledger.names import shown
 from landingshift.ledger.prices import Charge, Plan, charges
 from landingshift.ledger.store import Store
@@ -133,7 +133,7 @@
 
 
 def within(spans: list[int], number: int) -> bool:
-    return any(first <= number < first + count for first, count in zip(spans[::2], spans[1::2], strict=True))
+    return any(first <= number < first + count for first, count in pairs(spans))
 
 
 HEAD = ["tenant", "period", "line", "unit", "quantity", "free", "amount", "currency", "belongs", "reason"]
--- a/landingshift/ledger/store.py
+++ b/landingshift/ledger/store.py
@@ -16,7 +16,7 @@
 
 from landingshift import points
 from landingshift.ledger.book import Book, Place, Step, Sums
-from landingshift.ledger.entries import START, Closed, Correction, Kind, Opened, Settled, Use, decode, numbers
+from landingshift.ledger.entries import START, Closed, Kind, Settled, Use, decode, numbers
 from landingshift.ledger.periods import Calendar, Unit
 from landingshift.ledger.recent import Recent
 
@@ -402,6 +402,3 @@
     except (sqlite3.Error, OSError) as err:
         raise BadStore(f"{path}: {err}") from err
     return db
-
-
-__all__ = ["BadStore", "Correction", "Lock", "Opened", "Store"]
