Fleet: servers that know of each other, decisions alone and on the loop, off by default

Need: a common start, policies and upkeep stand on knowing who is there, without an accusation from a full core. Messages are MessagePack-RPC notifications checked by type.

--- /dev/null
+++ b/landingshift/fleet/service.py
@@ -0,0 +1,156 @@
+"""The node on the server's loop: one UDP socket for peers, calls for operators."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from random import Random
+from selectors import EVENT_READ
+from typing import TYPE_CHECKING, Any
+
+from landingshift.fleet import wire
+from landingshift.fleet.members import Member
+from landingshift.fleet.messages import GONE, Record, State
+from landingshift.fleet.node import Node, Times
+from landingshift.fleet.settings import Settings, address
+from landingshift.fleet.talk import Talk
+from landingshift.net.transport.loop import Timer
+
+if TYPE_CHECKING:
+    from landingshift.net.program.features import Host
+
+READS = 64  # datagrams in a pass: what floods must not hold up RPCs
+BUFFER = 1 << 20  # bytes of datagrams that may wait while a pass is long
+STRANGE = 1000.0  # ms between two lines about datagrams that were no messages
+SOON = 1.0  # ms: no look is due before
+
+
+class Fleet:
+    def __init__(self, host: Host, settings: Settings) -> None:
+        router = host.router
+        self.router, self.loop, self.log = router, router.loop, host.log
+        self.settings = settings
+        bound = address("listen", settings.listen, zero=True)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self.talk = Talk(self.loop, bound, self.log)
+            self.sock.bind(self.talk.listener.address)
+        except OSError as err:
+            self.sock.close()
+            raise ValueError(f"listen: {settings.listen}: {err.strerror}") from err
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        here = address("advertise", settings.advertise) if settings.advertise else self.sock.getsockname()
+        chance = Random(f"{router.site.seed} fleet {router.site.name}")
+        me = Record(
+            name=router.site.name, host=here[0], port=here[1], zone=settings.zone, run=chance.getrandbits(48),
+            incarnation=0, version=0, state=State.ALIVE, by="", facts={},
+        )  # fmt: skip
+        peers = [address("peers", p) for p in settings.peers]
+        times = Times(settings.period_ms, settings.probe_ms, settings.suspect_ms)
+        self.node = Node(me, peers, times, settings.most, chance, self.loop.now, self.log)
+        self.node.watchers.append(self.told)
+        self.strange: dict[str, int] = {}  # datagrams by why they were turned away, since the last line
+        self.timer: Timer | None = None
+        self.heard = self.said = self.unsent = 0
+        self.steps: list[Callable[[], None]] = []  # of other rooms, called with each look
+        self.talk.calls |= {"members": self.members, "status": self.status}
+        self.loop.watch(self.sock.fileno(), EVENT_READ, self)
+        self.loop.after(0.0, self.tick)
+        self.log("fleet_started", name=me.name, address=f"{here[0]}:{here[1]}", run=me.run)
+
+    # The loop
+
+    def ready(self, _mask: int) -> None:
+        for _ in range(READS):
+            try:
+                data = self.sock.recv(wire.LARGEST + 1)
+            except OSError:  # none left, or news of one that could not be delivered
+                break
+            self.heard += 1
+            try:
+                message = wire.decode(self.settings.fleet, data)
+            except wire.Broken as err:
+                self.turn_away(str(err))
+            else:
+                self.node.hear(message, self.loop.now)
+        self.pass_on()
+
+    def tick(self) -> None:
+        self.timer = None
+        if self.router.draining:
+            self.node.leave(self.loop.now)
+        if self.node.next() <= self.loop.now:
+            self.node.tick(self.loop.now)
+        for step in self.steps:
+            step()
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        for to, message in self.node.take_out():
+            self.said += 1
+            try:
+                self.sock.sendto(wire.encode(self.settings.fleet, message), to)
+            except OSError:  # full, or no way there: a later one says the same
+                self.unsent += 1
+        at = max(self.node.next(), self.loop.now + SOON)
+        if self.timer is None or at < self.timer.at - SOON:
+            self.loop.cancel(self.timer)
+            self.timer = self.loop.after(at - self.loop.now, self.tick)
+
+    def turn_away(self, reason: str) -> None:
+        if not self.strange:
+            self.loop.after(STRANGE, self.tell_strange)
+        self.strange[reason] = self.strange.get(reason, 0) + 1
+
+    def tell_strange(self) -> None:
+        strange, self.strange = self.strange, {}
+        self.log("fleet_strange", **strange)
+
+    def told(self, member: Member, was: State | None) -> None:
+        """A line for what changes who is counted on; suspicions come and go too often."""
+        r, members = member.record, len(self.node.members.present) + 1
+        if r.state is State.ALIVE and (was is None or was in GONE):
+            self.log("fleet_member", name=r.name, run=r.run, members=members)
+        elif r.state in GONE and was in (State.ALIVE, State.SUSPECT):
+            self.log("fleet_gone", name=r.name, how=r.state.name.lower(), by=r.by, members=members)
+
+    def finish(self) -> None:
+        self.node.leave(self.loop.now)
+        self.pass_on()
+        self.loop.watch(self.sock.fileno(), 0, self)
+        self.sock.close()
+        self.talk.close()
+
+    # For operators
+
+    def members(self, _params: list[Any]) -> list[dict[str, Any]]:
+        now, members = self.loop.now, self.node.members
+        rows = [self.row(members.me, 0.0)]
+        rows += [self.row(m.record, now - m.since) for m in members.table.values()]
+        return sorted(rows, key=lambda row: str(row["name"]))
+
+    @staticmethod
+    def row(r: Record, age: float) -> dict[str, Any]:
+        return {
+            "name": r.name, "address": f"{r.host}:{r.port}", "zone": r.zone, "run": r.run,
+            "incarnation": r.incarnation, "state": r.state.name.lower(), "for_ms": round(age), **r.facts,
+        }  # fmt: skip
+
+    def status(self, _params: list[Any]) -> dict[str, Any]:
+        node = self.node
+        states: dict[str, int] = {}
+        for member in node.members.table.values():
+            name = member.record.state.name.lower()
+            states[name] = states.get(name, 0) + 1
+        return {
+            "name": node.me.name, "fleet": self.settings.fleet, "members": len(node.members.present) + 1,
+            "states": states, "doubt": node.health.doubt, "news": len(node.members.spread),
+            "heard": self.heard, "said": self.said, "unsent": self.unsent + node.lost,
+            "refused": node.members.refused,
+        }  # fmt: skip
+
+
+def attach(host: Host, settings: Settings) -> Fleet:
+    """Raises ValueError("listen: ...") where the address can't be had."""
+    return Fleet(host, settings)
--- a/landingshift/net/program/features.py
+++ b/landingshift/net/program/features.py
@@ -2,7 +2,8 @@
 
 A room that can be switched on has a module `settings` with the struct `Settings` (msgspec, unknown keys
 refused) and `check(settings, folder)`, which raises `ValueError("key: what is wrong")`, and a module
-`service` with `attach(host, settings) -> Service`.
+`service` with `attach(host, settings) -> Service`. `Settings.needs`, where it is there, names the tables
+without which the room can't be on. Rooms are attached in the order of `ROOMS`.
 """
 
 from __future__ import annotations
@@ -10,14 +11,17 @@
 import os
 import tomllib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from importlib import import_module
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
     from landingshift.net.routing.router import Router
 
-ROOMS = {"ledger": "landingshift.ledger"}  # table of the file, package
+ROOMS = {  # table of the file, package
+    "ledger": "landingshift.ledger",
+    "fleet": "landingshift.fleet",
+}
 ENV = "LANDINGSHIFT_TOML"
 
 
@@ -36,6 +40,7 @@
 
     router: Router
     log: Callable[..., None]
+    services: dict[str, Service] = field(default_factory=dict)  # those attached so far, by their tables
 
 
 @dataclass(slots=True)
@@ -48,6 +53,7 @@
             service: Service = import_module(f"{ROOMS[self.room]}.service").attach(host, self.settings)
         except ValueError as err:
             raise BadFeature(f"[{self.room}] {err}") from err
+        host.services[self.room] = service
         return service
 
 
@@ -71,7 +77,12 @@
             raise BadFeature(f"{path}: [{table}] {err}") from err
         if settings.on or every:
             features.append(Feature(table, settings))
-    return features
+    on = {f.room for f in features if f.settings.on}
+    for feature in features:
+        for need in getattr(feature.settings, "needs", ()):
+            if feature.settings.on and need not in on:
+                raise BadFeature(f"{path}: [{feature.room}] needs the table [{need}], switched on")
+    return sorted(features, key=lambda f: list(ROOMS).index(f.room))
 
 
 def told(text: str) -> str:
--- a/landingshift/net/program/main.py
+++ b/landingshift/net/program/main.py
@@ -62,7 +62,8 @@
         sys.stderr.write(f"landingshift: listen: {site.listen[0]}:{site.listen[1]}: {err.strerror}\n")
         return 2
     try:
-        services = [feature.attach(features.Host(router, log)) for feature in switched_on]
+        host = features.Host(router, log)
+        services = [feature.attach(host) for feature in switched_on]
     except features.BadFeature as err:
         sys.stderr.write(f"landingshift: {err}\n")
         return 2
