Cold start: amounts lent for a time, places to start, the last list; decisions alone

Need: hundreds that start together must not bring down the list service and the store, while they disagree about who is there. Change: landingshift/coldstart: a lender's rule by which the sum of what all believe in never passes what there is (numbered requests, leases counted from the sending, the greater of grant and claim booked, a restarted lender quiet for one lease), places by zone and waiting work whose number follows strain, one server's way from seeking to warm with a way alone, spread and decorrelated asks of the list service, the last list on disk. lab/rise.py drives them in virtual time over a store that falls when crowded. Ways weighed: one steward elected by a majority (one grantor for 5,000 servers, nothing lent without a majority); pairwise escrow (a crashed holder's part is lost without a home). Fixed lenders, each with its part for good, need no election and lend on both sides of a cut; what it costs: a dead lender's part is out of use.

--- /dev/null
+++ b/landingshift/coldstart/places.py
@@ -0,0 +1,139 @@
+"""How many servers may be between start and warm at once, and who is next. Pure.
+
+A place is lent like any amount (`leases.py`) and lapses with its holder. How many there are follows what
+those who start tell of the services that all of them need: one number, the strain, 1 where a service is at
+its limit. Doubled each second while all places are in use and nothing has strained yet, raised by a tenth
+after that, halved when something strains.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from landingshift.coldstart.leases import Lender
+
+WINDOW = 1000.0  # ms in which what is told is gathered
+GROWTH = 0.1  # share by which the number grows in a window once something has strained
+EASY = 0.5  # strain up to which one more may start at once
+LEAST = 0.25  # places below one: nobody starts for some windows, then one tries
+REST = 2  # windows after a cut in which nothing is raised or cut again: its effect comes later
+TOLD = 4096
+
+
+class Pace:
+    """A number that follows what is told of strain: of places, or of calls that the store bears."""
+
+    def __init__(self, first: float, most: float, now: float, least: float = LEAST) -> None:
+        self.limit, self.most, self.least, self.since = min(first, most), most, least, now
+        self.told: list[float] = []
+        self.rest = 0
+        self.growth = 1.0  # share by which it grows in a window; until something strains, it doubles
+
+    def strain(self, value: float) -> None:
+        if len(self.told) < TOLD:
+            self.told.append(value)
+
+    def look(self, now: float, wanted: bool) -> bool:
+        """True where the number changed; called as often as wanted, acts once a window.
+
+        `wanted`: whether all is in use and more is asked for, so that a higher number would be tried out.
+        """
+        if now - self.since < WINDOW:
+            return False
+        told, self.told, self.since = sorted(self.told), [], now
+        # Three quarters: a few who cannot reach a service by a fault of their own must not stop all.
+        strain = told[len(told) * 3 // 4] if told else 0.0
+        was = self.limit
+        if self.rest:
+            self.rest -= 1
+        elif strain > 1.0:
+            self.limit, self.rest, self.growth = max(self.least, self.limit / 2.0), REST, GROWTH
+        elif strain <= EASY and wanted:
+            self.limit = min(self.most, self.limit + max(self.least, self.growth * self.limit))
+        return self.limit != was
+
+
+@dataclass(slots=True, eq=False)
+class Wish:
+    zone: str
+    work: float  # RPCs a second that wait for it
+    since: float
+
+
+def order(wishes: dict[str, Wish], holding: list[str], free: int) -> list[str]:
+    """Who gets the free places: the zone with fewest on their way up, then most waiting work, then the
+    longest wait."""
+    up: dict[str, int] = {}
+    for name in holding:
+        zone = wishes[name].zone
+        up[zone] = up.get(zone, 0) + 1
+    lines: dict[str, list[str]] = {}
+    for name, wish in wishes.items():
+        if name not in holding:
+            lines.setdefault(wish.zone, []).append(name)
+    for line in lines.values():
+        line.sort(key=lambda n: (wishes[n].work, -wishes[n].since, n))  # the next one last
+    chosen: list[str] = []
+    while free > len(chosen) and lines:
+        zone = min(lines, key=lambda z: (up.get(z, 0), z))
+        chosen.append(lines[zone].pop())
+        up[zone] = up.get(zone, 0) + 1
+        if not lines[zone]:
+            del lines[zone]
+    return chosen
+
+
+class Places:
+    """One lender's places. `first` at the start, never more than `most`; `lease` and `spare` in ms."""
+
+    def __init__(self, first: float, most: float, lease: float, spare: float, now: float) -> None:
+        self.pace = Pace(first, most, now)
+        self.wishes: dict[str, Wish] = {}  # of those who hold a place or wait for one
+        self.lender = Lender(first, lease, spare, now, self.divide)
+
+    def divide(self, wanted: dict[str, float], capacity: float) -> dict[str, float]:
+        """Who has a place keeps it while he wants it: a start cannot be taken back."""
+        holding = [n for n, g in self.lender.grants.items() if g.booked >= 1.0 and n in self.wishes]
+        free = int(capacity) - self.in_use()
+        return dict.fromkeys([*holding, *order(self.wishes, holding, free)], 1.0)
+
+    def asked(
+        self,
+        name: str,
+        run: int,
+        number: int,
+        claims: float,
+        wish: Wish | None,
+        strain: float,
+        now: float,
+    ) -> float | None:
+        """1 where it may start, 0 where it is to ask again, None for a request that is late or doubled.
+
+        `wish` is None for one that needs no place any more; its `since` is kept from its first.
+        """
+        for gone in self.lender.lapse(now):
+            self.wishes.pop(gone, None)
+        self.pace.strain(strain)
+        if wish is None:
+            self.wishes.pop(name, None)
+        else:
+            had = self.wishes.get(name)
+            wish.since = had.since if had is not None else now
+            self.wishes[name] = wish
+        in_use = self.in_use()
+        if self.pace.look(now, len(self.wishes) > in_use and in_use + 1.0 > self.pace.limit):
+            self.lender.capacity = self.pace.limit
+        self.lender.divided_at = -1e9  # a place that is free goes to the next who asks, at once
+        given = self.lender.asked(name, run, number, claims, 0.0 if wish is None else 1.0, now)
+        # A part of a place is none; it must not be booked either.
+        if given is not None and 0.0 < given < 1.0:
+            grant = self.lender.grants[name]
+            grant.amount, grant.booked, given = 0.0, 0.0, 0.0
+        return given
+
+    def in_use(self) -> int:
+        return sum(g.booked >= 1.0 for g in self.lender.grants.values())
+
+    def back(self, name: str, run: int) -> None:
+        self.wishes.pop(name, None)
+        self.lender.back(name, run)
--- /dev/null
+++ b/landingshift/lab/rise.py
@@ -0,0 +1,261 @@
+"""A fleet that comes up, in virtual time: the decisions of `fleet` and `coldstart` over a store and a list.
+
+The store bears so many calls a second; crowded past that it works at a third, and comes back only once the
+crowd is gone. A server is warm once its cache is filled, which takes `fill` calls, and `cold_ms` have passed.
+What is checked is read off the history: the sum of all shares at any look, places, the store's crowd.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import partial
+from math import inf, log
+from random import Random
+from typing import Any
+
+from landingshift.coldstart.agent import Agent, Plan, Seen
+from landingshift.coldstart.seek import Seek
+from landingshift.coldstart.strain import Strain
+from landingshift.fleet.messages import Message, Record, State
+from landingshift.fleet.node import Node, Times
+from landingshift.lab.virtual import Address, Host, World
+
+LOOK = 100.0  # ms between two steps of a server, and of the world
+PORT = 7101
+
+
+def address(i: int) -> Address:
+    return f"10.{i // 62500}.{i // 250 % 250}.{i % 250 + 1}", PORT
+
+
+@dataclass(slots=True)
+class Case:
+    """What is to come up, and over what. `calls` a second that the store bears, `asks` that the list does."""
+
+    servers: int = 200
+    lenders: int = 4
+    zones: int = 3
+    calls: float = 400.0
+    asks: float = 20.0
+    fill: float = 20.0
+    cold_ms: float = 4_000.0
+    places: tuple[float, float] = (32.0, 128.0)
+    know: str = "list"  # "snapshot": all know some addresses; "list": the list service does; "nobody"
+    list_up: tuple[float, float] = (0.0, 1e12)  # from, until, ms
+    baseline: bool = False  # no talk: each calls as it likes and asks the list at once
+
+    def plan(self) -> Plan:
+        names = tuple(f"n{i}" for i in range(self.lenders))
+        return Plan(names, self.calls, self.servers, 0.1, 1_500.0, 300.0, *self.places, 8_000.0, 2.0)
+
+
+class Mind:
+    """A server: its node, its agent, and the calls that it makes."""
+
+    def __init__(self, rise: Rise, i: int, run: int, now: float) -> None:
+        case = rise.case
+        self.rise, self.i, self.born = rise, i, now
+        chance = Random(f"{rise.seed} {i} {run}")
+        host, port = address(i)
+        me = Record(
+            f"n{i}", host, port, f"z{i % case.zones}", chance.getrandbits(48), 0, 0, State.ALIVE, "", {}
+        )
+        known = [address(chance.randrange(case.servers)) for _ in range(16)]
+        peers = known if case.know == "snapshot" else []
+        self.node = Node(me, peers, Times(), 10_000, chance, now, rise.log(i))
+        self.agent = Agent(self.node, case.plan(), chance, now)
+        self.seek = Seek(case.servers, case.asks, bool(peers), 3_000.0, chance, now)
+        if case.baseline:
+            self.seek.at = now
+        self.look_at = now + LOOK * chance.random()
+        self.strain = Strain()
+        self.filled = self.owed = 0.0
+        self.opened = 0.0  # when it began to take RPCs
+
+    # For the world of virtual time
+
+    def hear(self, message: Message, now: float) -> None:
+        self.node.hear(message, now)
+
+    def next(self) -> float:
+        return min(self.node.next(), self.look_at)
+
+    def take_out(self) -> list[tuple[Address, Any]]:
+        return self.node.take_out()
+
+    def tick(self, now: float) -> None:
+        if self.node.next() <= now:
+            self.node.tick(now)
+        if now >= self.look_at:
+            dt, self.look_at = LOOK, now + LOOK
+            self.node.now = now
+            self.step(now, dt)
+
+    def step(self, now: float, dt: float) -> None:
+        case, agent = self.rise.case, self.agent
+        seen = Seen(
+            warmth=self.warmth(now), need=self.need(now), work=float(self.i % 7),
+            strain=self.strain.value(now, agent.told_base), base=self.strain.base,
+        )  # fmt: skip
+        agent.step(now, seen)
+        if agent.start.open or case.baseline:
+            self.opened = self.opened or now
+            self.call(now, dt)
+        if case.know != "nobody" and self.seek.step(now, self.node.joined):
+            self.rise.asked(self, now)
+
+    def need(self, now: float) -> float:
+        """Calls a second: as many as the cores can ask for while the cache is cold, few once it is warm."""
+        if not (self.agent.start.open or self.rise.case.baseline):
+            return 0.0
+        return 1.0 if self.filled >= self.rise.case.fill else 10.0
+
+    def warmth(self, now: float) -> float:
+        if not self.opened:
+            return 0.0
+        age = (now - self.opened) / self.rise.case.cold_ms
+        return min(1.0, age, self.filled / self.rise.case.fill)
+
+    def call(self, now: float, dt: float) -> None:
+        most = self.need(now) if self.rise.case.baseline else min(self.need(now), self.agent.share(now))
+        self.owed = min(1.0 + most * dt / 1000.0, self.owed + most * dt / 1000.0)
+        while self.owed >= 1.0:
+            self.owed -= 1.0
+            good, took = self.rise.store.call()
+            self.strain.called(now, good, took)
+            self.filled += good
+
+
+@dataclass(slots=True)
+class Store:
+    """`bears` calls a second; what waits there is worked off at that rate, at a third once it is crowded."""
+
+    bears: float
+    base: float = 20.0  # ms of a call
+    waiting: float = 0.0
+    fell: bool = False
+    in_look: int = 0
+    made: list[int] = field(default_factory=list)  # calls by look
+
+    def call(self) -> tuple[bool, float]:
+        self.in_look += 1
+        self.waiting += 1.0
+        took = self.base + self.waiting * 1000.0 / self.rate()
+        return took < 2_000.0 and not self.fell, min(took, 2_000.0)
+
+    def rate(self) -> float:
+        return self.bears / 3.0 if self.fell else self.bears
+
+    def look(self, dt: float) -> None:
+        self.waiting = max(0.0, self.waiting - self.rate() * dt / 1000.0)
+        if self.waiting > 2.0 * self.bears:
+            self.fell = True
+        elif self.waiting < 0.05 * self.bears:
+            self.fell = False
+        self.made.append(self.in_look)
+        self.in_look = 0
+
+
+class Rise:
+    """One run; `run(ms)` goes on, `broken` names what did not hold."""
+
+    def __init__(self, case: Case, seed: int, **world: Any) -> None:
+        self.case, self.seed = case, seed
+        self.world = World(seed, **world)
+        self.store = Store(case.calls)
+        self.minds: dict[int, Mind] = {}
+        self.hosts: dict[int, Host] = {}
+        self.lines: list[tuple[float, int, str]] = []
+        self.broken: list[str] = []
+        self.asks: list[float] = []  # times at which the list service was asked
+        self.listed: list[Address] = []
+        self.runs = 0
+        self.most_shares = self.most_places = 0.0
+        self.warm_at = -1.0  # when 95 % of the capacity was warm
+        self.warm: list[float] = []  # share that is warm, by look
+        self.offsets = Random(f"{seed} clocks")
+        self.world.after(LOOK, self.look)
+
+    def log(self, i: int) -> Any:
+        return lambda event, **fields: self.lines.append((self.world.now, i, event))
+
+    def start(self, i: int) -> Mind:
+        """Clocks are anything; only their pace is alike."""
+        self.runs += 1
+        offset = self.offsets.uniform(-1e6, 1e6)
+        mind = self.minds[i] = Mind(self, i, self.runs, self.world.now + offset)
+        self.hosts[i] = self.world.start(address(i), mind, offset)
+        return mind
+
+    def start_all(self, spread: float = 1_000.0) -> None:
+        for i in range(self.case.servers):
+            self.world.at(self.world.chance.uniform(0.0, spread), partial(self.start, i))
+
+    def kill(self, i: int) -> None:
+        self.world.kill(address(i))
+        del self.minds[i]
+
+    def asked(self, mind: Mind, now: float) -> None:
+        """The list service: answers with who has asked before, if it is up."""
+        self.asks.append(self.world.now)
+        up, down = self.case.list_up
+        good = up <= self.world.now < down
+        entries = self.world.chance.sample(self.listed, min(16, len(self.listed))) if good else []
+        if good:
+            self.listed.append(address(mind.i))
+
+        def answer() -> None:
+            mind.seek.over(now, good)
+            mind.node.add_peers(entries)
+
+        self.world.after(20.0, answer)
+
+    def look(self) -> None:
+        self.store.look(LOOK)
+        shares = places = warm = 0.0
+        for i, mind in self.minds.items():
+            now = self.hosts[i].clock()
+            shares += mind.agent.share(now)
+            places += mind.agent.place(now)
+            warm += mind.warmth(now) >= 1.0
+        self.most_shares, self.most_places = max(self.most_shares, shares), max(self.most_places, places)
+        if shares > self.case.calls * 1.0001 and not self.case.baseline:
+            self.must(False, f"shares of {shares:.1f} where the store bears {self.case.calls:g}")
+        self.must(places <= self.case.places[1], f"{places:g} places of {self.case.places[1]:g}")
+        self.warm.append(warm / self.case.servers)
+        if self.warm_at < 0.0 and warm >= 0.95 * self.case.servers:
+            self.warm_at = self.world.now
+        self.world.after(LOOK, self.look)
+
+    def must(self, holds: bool, what: str) -> None:
+        if not holds and len(self.broken) < 20:
+            self.broken.append(f"{self.world.now:.0f} ms: {what}")
+
+    def run(self, ms: float) -> None:
+        self.world.run(self.world.now + ms)
+
+    # Figures
+
+    def least(self) -> float:
+        """ms that 95 % need at the least: of the calls that the store bears those that are warm take one each
+        a second and the rest fills caches; and none is warm before its cores are."""
+        case = self.case
+        left = 1.0 - 0.95 * case.servers / case.calls
+        by_store = -case.fill * log(left) * 1000.0 if left > 0.0 else inf
+        return max(by_store, case.cold_ms)
+
+    def peak(self, times: list[float]) -> int:
+        """Most within any second."""
+        times = sorted(times)
+        most = first = 0
+        for last, time in enumerate(times):
+            while times[first] < time - 1000.0:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+    def peak_calls(self) -> int:
+        made, most = self.store.made, 0
+        for i in range(len(made)):
+            most = max(most, sum(made[i : i + int(1000.0 / LOOK)]))
+        return most
