Cold start on the server's loop: held back until its start, paced by its share; off by default

Health has hold and release: until its start neither the roster nor a check hears that a server is good. Nothing is loaded or asked without the tables.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -179,6 +179,7 @@
         self.call_times, self.call_recent = Ring(10, 3000.0), Ring(4, 250.0)
         self.call_load = Ring(11, max(1.0, settings.calls_over / 10))  # time in hand, lost ones with linger
         self.tokens = self.rate = inf  # calls below a second; unbounded while it keeps up
+        self.share = inf  # calls a second that a fleet leaves to this server
         self.lost_row, self.slowed = 0, now  # calls without an answer since one with; last pace cut for them
         self.call_mean = 0.0  # of those answered in the last second
         self.advert, self.link_idle = -1.0, settings.link_idle
@@ -555,8 +556,15 @@
         elif good or not self.places[Want.LINE_UP]:  # not while calls wait and none is answered
             enough = self.rate > 2.0 * len(recent) + 10.0
             self.rate = self.rate * (1.0 + dt) if not enough else self.rate if slow else inf
+        self.rate = min(self.rate, self.share)
         self.tokens = min(self.tokens + self.rate * dt, max(1.0, 0.2 * self.rate)) if dt else self.tokens
-        self.mode("paced calls", self.rate < inf, f"mean {mean:.0f} base {base:.0f} ms")
+        self.mode("paced calls", self.rate < self.share, f"mean {mean:.0f} base {base:.0f} ms")
+
+    def use_below(self, share: float) -> None:
+        """At once: what was saved up under a larger share must not be spent under a smaller one."""
+        self.share = max(0.01, share)
+        self.rate = min(self.rate, self.share)
+        self.tokens = min(self.tokens, 1.0)
 
     def count_call(self, job: Job, lost: bool) -> None:
         self.call_load.add(self.now, self.now - job.called_at + self.set.linger * lost)
--- a/landingshift/cli/fleet.py
+++ b/landingshift/cli/fleet.py
@@ -98,3 +98,33 @@
 
 
 FIXED = ("name", "address", "zone", "state", "for_ms")
+
+
+@group.command()
+@AT
+@TOML
+@JSON
+def shares(at: str | None, toml: str | None, as_json: bool) -> None:
+    """How far this one is on its way to warm, and what it may use of the store."""
+    found = asked(at, toml, "coldstart")
+    if as_json:
+        say(found)
+        return
+    for key, value in found.items():
+        click.echo(f"{key:10} {told(value)}")
+
+
+@group.command()
+@AT
+@TOML
+@JSON
+def lent(at: str | None, toml: str | None, as_json: bool) -> None:
+    """What a lender has lent, and to whom."""
+    found = asked(at, toml, "lent")
+    if as_json:
+        say(found)
+        return
+    held = found.pop("shares")
+    for key, value in found.items():
+        click.echo(f"{key:14} {told(value)}")
+    table([{"name": name, "calls_s": amount} for name, amount in sorted(held.items())], ("name", "calls_s"))
--- /dev/null
+++ b/landingshift/coldstart/settings.py
@@ -0,0 +1,60 @@
+"""The table `[coldstart]`; needs `[fleet]`."""
+
+from __future__ import annotations
+
+import os
+from typing import Annotated, ClassVar
+
+from msgspec import Meta, Struct
+
+from landingshift.coldstart.agent import Plan
+from landingshift.fleet.messages import Name
+from landingshift.fleet.settings import address
+
+Many = Annotated[float, Meta(gt=0.0, le=1e6)]
+
+
+class Settings(Struct, forbid_unknown_fields=True, frozen=True):
+    """Alike on all servers of a fleet but for `snapshot`. Times in ms."""
+
+    needs: ClassVar[tuple[str, ...]] = ("fleet",)
+
+    servers: Annotated[int, Meta(ge=1, le=10_000)]  # the most that there will be
+    on: bool = True
+    lenders: Annotated[list[Name], Meta(max_length=64)] = []  # servers that lend places and shares
+    calls_s: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0  # calls a second that the store bears; 0: no shares
+    floor: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.1  # share of them divided evenly and never lent
+    lease_ms: Annotated[float, Meta(ge=200.0, le=60_000.0)] = 1_500.0
+    spare_ms: Annotated[float, Meta(ge=0.0, le=60_000.0)] = 300.0  # a lapsed share is not lent on before
+    places_first: Many = 32.0  # servers between start and warm, at the beginning
+    places_most: Many = 128.0
+    patience_ms: Annotated[float, Meta(ge=500.0, le=600_000.0)] = 8_000.0  # for a lender, then it goes alone
+    alone_s: Many = 2.0  # starts a second, in the whole fleet, of those who go alone
+    list_service: str = ""  # address:port of the list service, asked over MessagePack-RPC
+    list_asks_s: Many = 20.0  # asks a second that it bears
+    snapshot: str = ""  # the last list, a file on a disk that lasts
+
+
+def check(settings: Settings, _folder: str) -> None:
+    """Raises ValueError("key: what is wrong"); looks at nothing that starting would create."""
+    if settings.list_service:
+        address("list_service", settings.list_service)
+    if settings.snapshot and not os.path.isabs(settings.snapshot):
+        raise ValueError(f"snapshot: an absolute path is expected, not {settings.snapshot!r}")
+    if len(set(settings.lenders)) != len(settings.lenders):
+        raise ValueError("lenders: a name stands there twice")
+    if settings.places_first > settings.places_most:
+        raise ValueError(f"places_first: {settings.places_first:g} is more than places_most")
+    if settings.lenders and settings.places_most < len(settings.lenders):
+        # Each lends its part by itself, and a part of a place is none.
+        raise ValueError(f"places_most: {settings.places_most:g} is less than one for each of lenders")
+    if settings.floor > 0.5 and settings.lenders:
+        raise ValueError(f"floor: {settings.floor:g} leaves less than half to be lent")
+
+
+def plan(settings: Settings) -> Plan:
+    return Plan(
+        tuple(settings.lenders), settings.calls_s, settings.servers, settings.floor, settings.lease_ms,
+        settings.spare_ms, settings.places_first, settings.places_most, settings.patience_ms,
+        settings.alone_s,
+    )  # fmt: skip
--- a/landingshift/net/program/features.py
+++ b/landingshift/net/program/features.py
@@ -21,6 +21,7 @@
 ROOMS = {  # table of the file, package
     "ledger": "landingshift.ledger",
     "fleet": "landingshift.fleet",
+    "coldstart": "landingshift.coldstart",
 }
 ENV = "LANDINGSHIFT_TOML"
 
--- a/landingshift/net/routing/health.py
+++ b/landingshift/net/routing/health.py
@@ -17,7 +17,17 @@
     def __init__(self, loop: Loop, name: str, roster: Datagrams, engine: Engine, deep_checks: bool) -> None:
         self.loop, self.name, self.roster, self.engine = loop, name, roster, engine
         self.good, self.cheap, self.deep_checks = True, True, deep_checks
-        self.reporting = False
+        self.reporting = self.ready = self.held = False
+
+    def hold(self) -> None:
+        """Until released, neither the roster nor a check hears that it is good."""
+        self.held = True
+
+    def release(self) -> None:
+        if self.held:
+            self.held = False
+            if self.ready:
+                self.start()
 
     def set(self, good: bool, cheap: bool) -> None:
         changed, self.good, self.cheap = good != self.good, good, cheap
@@ -25,7 +35,8 @@
             self.say()
 
     def start(self) -> None:
-        if not self.reporting:
+        self.ready = True
+        if not self.reporting and not self.held:
             self.reporting = True
             self.report()
 
@@ -42,8 +53,8 @@
         self.roster.send(wire.here(self.name, self.good))
 
     def check(self, deep: bool, told: Callable[[bool], None]) -> None:
-        if deep and not self.engine.working:
-            told(False)  # without its engine no work gets done here
+        if self.held or (deep and not self.engine.working):
+            told(False)  # it is not to be counted on yet, or without its engine no work gets done here
         elif deep and self.deep_checks and self.good and not self.cheap:
             self.engine.test(told)
         else:
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -233,6 +233,7 @@
             return
         rpc.command, rpc.need, rpc.need_body = None, need.number, need.body
         self.prove(rpc)
+        self.taps.tell("needed", rpc)
         self.stir().wants_call(rpc.job)
 
     def prove(self, rpc: Routed) -> None:
--- a/landingshift/net/routing/taps.py
+++ b/landingshift/net/routing/taps.py
@@ -12,14 +12,14 @@
 class Observer(Protocol):
     """Hears of the stages of an RPC that it has a method for; must not block and must not change the RPC.
 
-    read(rpc), started(rpc), called(rpc, outcome, took in ms), answered(rpc, "ok", "pushed_back" or
-    "aborted"), closed(rpc).
+    read(rpc), started(rpc), needed(rpc) a call below, called(rpc, outcome, took in ms), answered(rpc, "ok",
+    "pushed_back" or "aborted"), closed(rpc).
     """
 
     name: str
 
 
-EVENTS = ("read", "started", "called", "answered", "closed")
+EVENTS = ("read", "started", "needed", "called", "answered", "closed")
 
 
 class Gate(Protocol):
--- a/landingshift/points.py
+++ b/landingshift/points.py
@@ -2,7 +2,9 @@
 
 `LANDINGSHIFT_CRASH=name` or `name:3` (the third time) kills the process there; `LANDINGSHIFT_SLOW=name:200`
 waits so many ms each time. With `LANDINGSHIFT_CRASH_ONCE=path` only the first process that gets there dies,
-and leaves the file. Unset, `reach` looks at two empty values.
+and leaves the file. Unset, `reach` looks at two empty values. `LANDINGSHIFT_CLOCK=-60000` sets the wall
+clock that rooms read through `wall` so many ms back. `LANDINGSHIFT_HISTORY=path` names a file to which `note`
+adds what was believed and decided, for a checker that knows the promises only.
 """
 
 from __future__ import annotations
@@ -16,6 +18,8 @@
 mark = os.environ.get("LANDINGSHIFT_CRASH_ONCE", "")
 slow, _, _ms = os.environ.get("LANDINGSHIFT_SLOW", "").partition(":")
 pause = float(_ms or 0.0) / 1000.0
+ahead = float(os.environ.get("LANDINGSHIFT_CLOCK", "") or 0.0)
+history = os.environ.get("LANDINGSHIFT_HISTORY", "")
 
 
 class Crash(BaseException):
@@ -46,3 +50,15 @@
                 except FileExistsError:
                     return
             os.kill(os.getpid(), signal.SIGKILL)
+
+
+def wall() -> float:
+    """Unix ms."""
+    return time.time() * 1000.0 + ahead
+
+
+def note(what: str, *values: object) -> None:
+    """One line of the history: monotonic ms, which all processes of a machine share, and what was so then."""
+    if history:
+        with open(history, "a") as file:
+            file.write(repr((time.monotonic() * 1000.0, what, *values)) + "\n")
