A rig of real processes with faults between them, and the rows of the common start

Change: lab/rig.py starts N servers with engines, store, roster and list service of our own on one loop (standins.py; store and list collapse when crowded), a switch for datagrams that cuts by direction, loses, doubles and delays (wires.py), SIGKILL, SIGSTOP, crash points, clocks apart; what each process believes is read off a common history. Nine rows; plots by matplotlib, loaded where asked for.

--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import click
 
+from landingshift.lab.rows import Row
+
 BROKEN = 1
 
 
@@ -27,8 +31,43 @@
     """Totals stay equal through failing receivers, exporters, disks and kills of the server."""
     from landingshift.lab.ledger import experiment
 
-    rows = experiment(repeats, kills, seed, broken, only)
-    for row in rows:
+    show(experiment(repeats, kills, seed, broken, only), file)
+
+
+@group.command()
+@click.option("--repeats", type=click.IntRange(1, 100_000), default=5, show_default=True)
+@click.option(
+    "--servers",
+    type=click.IntRange(0, 400),
+    default=0,
+    show_default=True,
+    help="Real processes; 0: virtual only.",
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
+@click.option("--break", "broken", type=click.Choice(["quiet", "booking", "shares"]))
+@click.option("--only", help="One case by its name.")
+@click.option("--plot", type=click.Path(dir_okay=False), help="Real starts by second, to this picture.")
+def coldstart(
+    repeats: int,
+    servers: int,
+    seed: int,
+    file: str | None,
+    broken: str | None,
+    only: str | None,
+    plot: str | None,
+) -> None:
+    """A fleet that comes up together spares list service and store, whatever fails meanwhile."""
+    from landingshift.lab.coldstart import experiment
+
+    show(experiment(repeats, seed, servers, broken, only), file, plot)
+
+
+def show(found: Iterable[Row], file: str | None, plot: str | None = None) -> None:
+    """A line a row as it is done; ends with status 1 where a promise did not hold."""
+    rows = []
+    for row in found:
+        rows.append(row)
         click.echo(f"{'holds ' if row.holds else 'BROKEN'}  {row.name:28} {row.runs:6} runs  {row.figures}")
         for text in row.broken[:3]:
             click.echo(f"        {text}")
@@ -37,5 +76,10 @@
 
         with open(file, "wb") as out:
             out.write(orjson.dumps([row.told() for row in rows], option=orjson.OPT_INDENT_2))
+    runs = {row.name: row.series for row in rows if row.series}
+    if plot and runs:
+        from landingshift.lab.plots import starts
+
+        starts(runs, plot)
     if not all(row.holds for row in rows):
         raise SystemExit(BROKEN)
--- /dev/null
+++ b/landingshift/lab/rig.py
@@ -0,0 +1,299 @@
+"""A fleet of real processes with stand-ins, gateways and faults between them, and the history of a run."""
+
+from __future__ import annotations
+
+import ast
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgpack
+import orjson
+
+from landingshift.lab.stage import METHOD, TENANT, settings
+from landingshift.lab.standins import HERE, Yard
+from landingshift.lab.wires import Switch
+from landingshift.net.protocol import gateway
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.stream import Address, Stream, connect
+
+SEND = 20.0  # ms between two looks of the gateways
+WAIT = 3000.0  # ms that an RPC's caller waits
+SLACK = 250.0  # ms more until an answer counts as late: gateways here share their cores with all else
+
+
+class Caller:
+    """One connection to one server: RPCs out, answers back."""
+
+    def __init__(self, rig: Rig, name: str, address: Address) -> None:
+        self.rig, self.name = rig, name
+        self.open: dict[int, float] = {}
+        self.number = 0
+        self.reader = gateway.Reader()
+        self.unread = b""
+        stream = connect(rig.loop, address, self, 1 << 20)
+        self.stream = stream if isinstance(stream, Stream) else None
+        self.unpacker = msgpack.Unpacker(max_buffer_size=1 << 20)
+
+    def rpc(self) -> None:
+        rig = self.rig
+        self.number += 1
+        told = {
+            "id": f"{rig.chance.getrandbits(64):016x}", "from": "1", "tenant": TENANT, "kb": "10",
+            "rank": "0.5", "at": str(int(time.time() * 1000)), "wait": str(int(WAIT)),
+        }  # fmt: skip
+        if self.stream is not None:
+            self.open[self.number] = rig.loop.now
+            self.stream.write(gateway.pack([0, self.number, METHOD, [told, b"work"]]))
+
+    def data(self, data: bytes) -> None:
+        self.unpacker.feed(data)
+        for message in self.unpacker:
+            if message[0] == 1:
+                begun = self.open.pop(message[1], None)
+                if begun is None:
+                    self.rig.ends["twice"] += 1
+                    continue
+                late = self.rig.loop.now - begun > WAIT + SLACK
+                error = message[2][0] if message[2] else "ok"
+                self.rig.ends["late" if late else error] += 1
+
+    def eof(self) -> None:
+        if self.stream is not None:
+            self.stream.close("closed")
+
+    def ended(self, _reason: str) -> None:
+        self.stream = None
+        # A killed server answers nobody, and one that was stopped may be left by its callers.
+        dead = self.name in self.rig.killed | self.rig.doomed
+        self.rig.ends["with a killed one" if dead else "lost"] += len(self.open)
+        self.open.clear()
+
+
+class Rig:
+    """`toml(i, rig)`: the settings of server i, "" for the plain program. `rate`: RPCs a second in all."""
+
+    def __init__(
+        self,
+        folder: str,
+        count: int,
+        seed: int,
+        toml: Callable[[int, Rig], str],
+        rate: float,
+        bears: float,
+        asks: float,
+        fill: int = 20,
+        cold_ms: float = 2000.0,
+    ) -> None:
+        self.folder, self.count, self.seed, self.toml, self.rate = folder, count, seed, toml, rate
+        self.chance = Random(f"{seed} rig")
+        self.loop = Loop(self.fault)
+        self.faults = 0
+        self.yard = Yard(self.loop, seed, bears, asks, fill, cold_ms)
+        self.switch = Switch(self.loop, seed)
+        self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.listens: dict[int, Address] = {}
+        self.talks: dict[int, Address] = {}
+        self.callers: dict[str, Caller] = {}
+        self.killed: set[str] = set()
+        self.doomed: set[str] = set()  # those that will die by themselves
+        self.ends: Counter[str] = Counter()
+        self.runs: Counter[int] = Counter()
+        self.owed = 0.0
+        self.warm_at = -1.0
+        self.warm: list[tuple[float, int, int]] = []  # ms, how many are warm, calls so far
+        self.begun = self.loop.now
+        self.env: dict[int, dict[str, str]] = {}
+        for i in range(count):
+            self.listens[i], self.talks[i] = free(), free()
+            self.switch.port(self.name(i), self.talks[i])
+        self.orders: deque[tuple[Callable[[], Any], threading.Event]] = deque()
+        self.loop.after(SEND, self.look)
+        self.thread = threading.Thread(target=self.loop.run, daemon=True)
+        self.thread.start()
+
+    @staticmethod
+    def name(i: int) -> str:
+        return f"n{i}"
+
+    def fault(self) -> None:
+        self.faults += 1
+
+    # Processes
+
+    def start(self, i: int, **env: str) -> None:
+        self.runs[i] += 1
+        name = self.name(i)
+        self.killed.discard(name)
+        engine = self.do(lambda: self.yard.engine(name))
+        place = "{}:{}"
+        mine = settings() | {"peers-total": self.count}
+        mine["classes"][0] |= {"late-share": 1.0, "repeat-window": 5000.0}
+        mine["extra"] |= {
+            "depends-on": "shared", "class-calls": [True], "class-skip-worth": [0.5], "calls-out": 50.0,
+            "calls-over": 5000.0, "linger": 100.0,
+        }  # fmt: skip
+        mine["rules"] |= {"cold": self.yard.cold_ms}
+        config = {
+            "name": name, "listen": place.format(*self.listens[i]), "engine": place.format(*engine),
+            "db": place.format(*self.yard.store_door.address),
+            "roster": place.format(*self.yard.roster.getsockname()),
+            "seed": f"{self.chance.getrandbits(48):x}", "stop_ms": 1000,
+            "limits": {"memory_mb": 64, "sockets": 256}, "settings": mine,
+        }  # fmt: skip
+        path = Path(self.folder, f"{name}.json")
+        path.write_bytes(orjson.dumps(config))
+        more = {"GW_CONFIG": str(path), "LANDINGSHIFT_HISTORY": str(Path(self.folder, f"{name}.history"))}
+        text = self.toml(i, self)
+        if text:
+            ours = Path(self.folder, f"{name}.toml")
+            ours.write_text(text)
+            more["LANDINGSHIFT_TOML"] = str(ours)
+        with open(Path(self.folder, f"{name}.log"), "ab") as log:
+            self.processes[i] = subprocess.Popen(
+                [sys.executable, "-m", "landingshift"],
+                env=os.environ | more | self.env.get(i, {}) | env,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self, i: int) -> None:
+        self.killed.add(self.name(i))
+        self.processes[i].kill()
+        self.processes[i].wait()
+
+    def stop(self, i: int, seconds: float) -> None:
+        """SIGSTOP now, SIGCONT so much later."""
+        process = self.processes[i]
+        process.send_signal(signal.SIGSTOP)
+        timer = threading.Timer(seconds, process.send_signal, (signal.SIGCONT,))
+        timer.daemon = True
+        timer.start()
+
+    def drain_all(self) -> list[int]:
+        """Exit status of each; those that still run are told to leave."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        return [process.wait(20) for process in self.processes.values()]
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+        self.loop.stop()
+        self.thread.join(5.0)
+        self.switch.close()
+        self.yard.close()
+
+    # On the loop
+
+    def do(self, action: Callable[[], Any]) -> Any:
+        """Has the loop's thread do it, and waits."""
+        result: list[Any] = []
+        done = threading.Event()
+        self.orders.append((lambda: result.append(action()), done))
+        if not done.wait(20.0):
+            raise RuntimeError("the rig's loop hangs")
+        return result[0] if result else None
+
+    def look(self) -> None:
+        self.loop.after(SEND, self.look)
+        while self.orders:
+            action, done = self.orders.popleft()
+            try:
+                action()
+            finally:
+                done.set()
+        yard = self.yard
+        up = [i for i in self.processes if yard.on(self.name(i)) and self.name(i) not in self.killed]
+        self.owed = min(self.owed + self.rate * SEND / 1000.0, 10.0 * self.rate * SEND / 1000.0)
+        while up and self.owed >= 1.0:
+            self.owed -= 1.0
+            self.send(self.chance.choice(up))
+        warm = sum(yard.warm(self.name(i)) for i in up)
+        if self.warm_at < 0.0 and warm >= 0.95 * self.count:
+            self.warm_at = self.loop.now - self.begun
+        if not self.warm or self.loop.now - self.begun - self.warm[-1][0] >= 500.0:
+            self.warm.append((self.loop.now - self.begun, warm, len(yard.store.times)))
+
+    def send(self, i: int) -> None:
+        name = self.name(i)
+        caller = self.callers.get(name)
+        if caller is None or caller.stream is None:
+            caller = self.callers[name] = Caller(self, name, self.listens[i])
+        if len(caller.open) < 30:
+            caller.rpc()
+
+    def quiet(self, wait: float = 8.0) -> int:
+        """Sends no more and waits for what is out; how many RPCs never got an answer."""
+        self.rate = 0.0
+        end = time.monotonic() + wait
+        while time.monotonic() < end and self.do(lambda: any(c.open for c in self.callers.values())):
+            time.sleep(0.05)
+        return int(self.do(lambda: sum(len(c.open) for c in self.callers.values())))
+
+    def until(self, seconds: float, holds: Callable[[], bool]) -> bool:
+        end = time.monotonic() + seconds
+        while not holds():
+            if time.monotonic() > end:
+                return False
+            time.sleep(0.05)
+        return True
+
+    # The history
+
+    def history(self) -> list[tuple[Any, ...]]:
+        """All that all processes noted, in order of time."""
+        lines: list[tuple[Any, ...]] = []
+        for path in Path(self.folder).glob("*.history"):
+            for text in path.read_text().splitlines():
+                try:
+                    lines.append(ast.literal_eval(text))
+                except (SyntaxError, ValueError):
+                    continue  # the last line of a killed one
+        return sorted(lines, key=lambda entry: entry[0])
+
+    def logged(self, i: int) -> list[dict[str, Any]]:
+        lines = []
+        for text in Path(self.folder, f"{self.name(i)}.log").read_bytes().splitlines():
+            try:
+                lines.append(orjson.loads(text))
+            except orjson.JSONDecodeError:
+                continue
+        return lines
+
+
+def free() -> Address:
+    """An address that is free for TCP and UDP alike."""
+    with socket.create_server((HERE, 0)) as sock:
+        found: Address = sock.getsockname()
+    return found
+
+
+def believed(history: list[tuple[Any, ...]], at: int) -> float:
+    """The most that all holders together believed in at one instant; `at`: 0 for shares, 2 for places.
+
+    Each holds from each lender what it noted last, until the end that it noted; who is killed believes on in
+    what he had, which only makes the figure larger.
+    """
+    held: dict[tuple[str, str], tuple[float, float]] = {}
+    most = 0.0
+    for entry in history:
+        if entry[1] != "loan":
+            continue
+        now, _, name, lender, *values = entry
+        held[name, lender] = values[at], values[at + 1]
+        most = max(most, sum(amount for amount, end in held.values() if end > now))
+    return most
