--- /dev/null
+++ b/landingshift/policies/agreement.py
@@ -0,0 +1,378 @@
+"""One sequence of entries among a few voters, though they crash, stop and are cut off.
+
+After Raft's paper, with pre-votes and a leader that steps down without a majority. Pure: time, chance and
+messages come in; messages go out, and what must be on disk before they may. The driver's part of the bargain:
+`unsaved()` is written and synced, then `saved()` is called, then `take_out()` gives the messages that rest on
+it. A voter that lost what it had saved must not come back under its name.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+BATCH = 16  # entries in a message
+OUT = 1024  # messages that may wait for the driver
+LONGEST = 10_000  # entries that are kept after the last snapshot
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    ASKING = "asking"  # whether it would be elected, before it disturbs anybody (pre-vote)
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    term: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class Stored:
+    """What a voter has on disk. `base` is the last index that the snapshot `state` covers."""
+
+    term: int = 0
+    vote: str = ""
+    base: int = 0
+    base_term: int = 0
+    state: bytes = b""
+    entries: list[Entry] = field(default_factory=list)
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """For a vote, or `pre`: whether there would be one."""
+
+    term: int
+    last: int
+    last_term: int
+    pre: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Vote:
+    term: int
+    given: bool
+    pre: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Append:
+    """Entries after `before`; none of them is a beat. `round` tells answers to old ones from new."""
+
+    term: int
+    before: int
+    before_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+@dataclass(slots=True, frozen=True)
+class Appended:
+    """`match`: up to where the logs are alike; where `good` is False, from where to try."""
+
+    term: int
+    good: bool
+    match: int
+    round: int
+
+
+@dataclass(slots=True, frozen=True)
+class Install:
+    """A snapshot for one that is further behind than the log goes back."""
+
+    term: int
+    base: int
+    base_term: int
+    state: bytes
+    round: int
+
+
+Message = Ask | Vote | Append | Appended | Install
+
+
+@dataclass(slots=True, frozen=True)
+class Times:
+    """ms. An election waits `wait` up to twice that; a leader without a majority for `wait` steps down."""
+
+    beat: float = 150.0
+    wait: float = 900.0
+
+
+class Voter:
+    """`voters` are all names, this one's included: 3, 5 or 7."""
+
+    def __init__(
+        self, name: str, voters: tuple[str, ...], stored: Stored, times: Times, chance: Random, now: float
+    ) -> None:
+        self.name, self.voters, self.times, self.chance = name, voters, times, chance
+        self.others = tuple(v for v in voters if v != name)
+        self.stored = stored
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.commit = stored.base
+        self.votes: set[str] = set()
+        self.next: dict[str, int] = {}
+        self.match: dict[str, int] = {}
+        self.heard: dict[str, float] = {}  # when each other last answered the leader
+        self.rounds = 0
+        self.synced = self.last  # up to where this voter's own log is on disk
+        self.changed = False  # term, vote, snapshot or entries wait to be saved
+        self.out: list[tuple[str, Message]] = []
+        self.now = self.leader_at = now
+        self.due = 0.0
+        self.patience()
+
+    # The log
+
+    @property
+    def last(self) -> int:
+        return self.stored.base + len(self.stored.entries)
+
+    def term_at(self, index: int) -> int | None:
+        """None before the snapshot and past the end."""
+        s = self.stored
+        if index == s.base:
+            return s.base_term
+        return s.entries[index - s.base - 1].term if s.base < index <= self.last else None
+
+    def entries(self, after: int, up_to: int) -> list[Entry]:
+        """Those past `after` up to `up_to`, as far as the log goes back."""
+        base = self.stored.base
+        return self.stored.entries[max(0, after - base) : max(0, up_to - base)]
+
+    def compact(self, index: int, state: bytes) -> None:
+        """The application's state up to `index`, which is committed, stands for the entries."""
+        if self.stored.base < index <= self.commit:
+            term = self.term_at(index)
+            assert term is not None
+            s = self.stored
+            s.entries = s.entries[index - s.base :]
+            s.base, s.base_term, s.state = index, term, state
+            self.changed = True
+
+    # The driver's
+
+    def unsaved(self) -> Stored | None:
+        return self.stored if self.changed else None
+
+    def saved(self) -> None:
+        """What `unsaved` gave is on disk."""
+        self.changed, self.synced = False, self.last
+        if self.role is Role.LEADER:
+            self.count()
+
+    def take_out(self) -> list[tuple[str, Message]]:
+        """Nothing that rests on what a crash could still take back."""
+        if self.changed:
+            return []
+        out, self.out = self.out, []
+        return out
+
+    def send(self, to: str, message: Message) -> None:
+        if len(self.out) < OUT:
+            self.out.append((to, message))
+
+    # Time
+
+    def patience(self) -> None:
+        self.due = self.now + self.times.wait * self.chance.uniform(1.0, 2.0)
+
+    def tick(self, now: float) -> None:
+        self.now = now
+        if now < self.due:
+            return
+        if self.role is Role.LEADER:
+            here = sum(now - self.heard[other] < self.times.wait for other in self.others) + 1
+            if not self.most(here):
+                self.follow(self.stored.term, "")  # it may be cut off: whoever asks must not rely on it
+                return
+            self.due = now + self.times.beat
+            self.beat()
+        else:
+            self.ask(True)
+
+    def most(self, count: int) -> bool:
+        return 2 * count > len(self.voters)
+
+    # Elections
+
+    def ask(self, pre: bool) -> None:
+        self.role = Role.ASKING if pre else Role.CANDIDATE
+        self.leader = ""
+        self.votes = {self.name}
+        if not pre:
+            self.stored.term, self.stored.vote, self.changed = self.stored.term + 1, self.name, True
+        self.patience()
+        term = self.stored.term + 1 if pre else self.stored.term
+        last_term = self.term_at(self.last)
+        assert last_term is not None
+        for other in self.others:
+            self.send(other, Ask(term, self.last, last_term, pre))
+        self.elected()
+
+    def elected(self) -> None:
+        if not self.most(len(self.votes)):
+            return
+        if self.role is Role.ASKING:
+            self.ask(False)
+        elif self.role is Role.CANDIDATE:
+            self.role, self.leader = Role.LEADER, self.name
+            self.next = dict.fromkeys(self.others, self.last + 1)
+            self.match = dict.fromkeys(self.others, 0)
+            self.heard = dict.fromkeys(self.others, self.now)
+            self.due = self.now + self.times.beat
+            # An entry of its own term commits all before it; without one they would wait for the next change.
+            self.stored.entries.append(Entry(self.stored.term, b""))
+            self.changed = True
+            self.beat()
+
+    def asked(self, who: str, m: Ask) -> None:
+        mine = self.term_at(self.last)
+        assert mine is not None
+        good = (m.last_term, m.last) >= (mine, self.last)
+        if m.pre:
+            # Who hears a leader wants no other: a voter that was cut off must not unseat it on its return.
+            quiet = self.role is not Role.LEADER and self.now - self.leader_at >= self.times.wait
+            self.send(who, Vote(m.term, good and quiet and m.term > self.stored.term, True))
+            return
+        if m.term < self.stored.term:
+            self.send(who, Vote(self.stored.term, False, False))
+            return
+        given = good and self.stored.vote in ("", who)
+        if given and self.stored.vote != who:
+            self.stored.vote, self.changed = who, True
+        if given:
+            self.patience()
+        self.send(who, Vote(m.term, given, False))
+
+    def voted(self, who: str, m: Vote) -> None:
+        if not m.given:
+            return
+        if (m.pre and self.role is Role.ASKING and m.term == self.stored.term + 1) or (
+            not m.pre and self.role is Role.CANDIDATE and m.term == self.stored.term
+        ):
+            self.votes.add(who)
+            self.elected()
+
+    def follow(self, term: int, leader: str) -> None:
+        if term > self.stored.term:
+            self.stored.term, self.stored.vote, self.changed = term, "", True
+        self.role, self.leader = Role.FOLLOWER, leader
+        self.patience()
+
+    # Entries
+
+    def propose(self, data: bytes) -> int | None:
+        """Its index, known to be taken once `commit` reaches it in this term; None where this leads not."""
+        if self.role is not Role.LEADER or len(self.stored.entries) >= LONGEST:
+            return None
+        self.stored.entries.append(Entry(self.stored.term, data))
+        self.changed = True
+        self.beat()
+        return self.last
+
+    def beat(self) -> None:
+        self.rounds += 1
+        for other in self.others:
+            self.feed(other)
+
+    def feed(self, other: str) -> None:
+        s, before = self.stored, self.next[other] - 1
+        term = self.term_at(before)
+        if term is None:
+            self.send(other, Install(s.term, s.base, s.base_term, s.state, self.rounds))
+            return
+        some = tuple(self.entries(before, before + BATCH))
+        self.send(other, Append(s.term, before, term, some, self.commit, self.rounds))
+
+    def append(self, who: str, m: Append) -> None:
+        if m.term < self.stored.term:
+            self.send(who, Appended(self.stored.term, False, 0, m.round))
+            return
+        self.hear_leader(who, m.term)
+        s = self.stored
+        before, entries = m.before, m.entries
+        if before < s.base:  # the snapshot has those already
+            entries, before = entries[s.base - before :], s.base
+        elif self.term_at(before) != m.before_term:
+            # Back by the whole term at once, not entry by entry.
+            back = min(before - 1, self.last)
+            wrong = self.term_at(back)
+            while back > s.base and self.term_at(back) == wrong and back > self.commit:
+                back -= 1
+            self.send(who, Appended(s.term, False, max(back, self.commit), m.round))
+            return
+        for i, entry in enumerate(entries, before + 1):
+            if self.term_at(i) != entry.term:
+                del s.entries[i - s.base - 1 :]
+                s.entries.append(entry)
+                self.changed = True
+        match = before + len(entries)
+        self.commit = max(self.commit, min(m.commit, match))
+        self.send(who, Appended(s.term, True, match, m.round))
+
+    def hear_leader(self, who: str, term: int) -> None:
+        self.follow(term, who)
+        self.leader_at = self.now
+
+    def install(self, who: str, m: Install) -> None:
+        s = self.stored
+        if m.term < s.term:
+            self.send(who, Appended(s.term, False, 0, m.round))
+            return
+        self.hear_leader(who, m.term)
+        if m.base > self.commit:
+            s.entries = s.entries[m.base - s.base :] if self.term_at(m.base) == m.base_term else []
+            s.base, s.base_term, s.state, self.changed = m.base, m.base_term, m.state, True
+            self.commit = m.base
+        self.send(who, Appended(s.term, True, max(m.base, 0), m.round))
+
+    def appended(self, who: str, m: Appended) -> None:
+        if self.role is not Role.LEADER or m.term != self.stored.term:
+            return
+        self.heard[who] = self.now
+        if m.good:
+            self.match[who] = max(self.match[who], m.match)
+            self.next[who] = max(self.next[who], self.match[who] + 1)
+            self.count()
+            if self.next[who] <= self.last and m.round == self.rounds:
+                self.feed(who)
+        else:
+            self.next[who] = max(self.match[who] + 1, min(self.next[who] - 1, m.match + 1))
+            if m.round == self.rounds:
+                self.feed(who)
+
+    def count(self) -> None:
+        """Commits what a majority has on disk, if its last entry is of this term."""
+        places = sorted([self.synced, *self.match.values()], reverse=True)
+        index = places[len(self.voters) // 2]
+        if index > self.commit and self.term_at(index) == self.stored.term:
+            self.commit = index
+
+    # Hearing
+
+    def hear(self, who: str, message: Message, now: float) -> None:
+        if who not in self.others:
+            return
+        self.now = now
+        term = message.term
+        # A pre-vote is about a term that nobody is in yet.
+        about = isinstance(message, Ask | Vote) and message.pre
+        if term > self.stored.term and not about:
+            self.follow(term, "")
+        match message:
+            case Ask():
+                self.asked(who, message)
+            case Vote():
+                self.voted(who, message)
+            case Append():
+                self.append(who, message)
+            case Install():
+                self.install(who, message)
+            case Appended():
+                self.appended(who, message)
--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,230 @@
+"""One sequence among voters that crash, stop and are cut off: whole histories in virtual time, checked."""
+
+from __future__ import annotations
+
+import copy
+import unittest
+from random import Random
+from typing import Any
+
+from landingshift.policies.agreement import (
+    LONGEST,
+    Append,
+    Appended,
+    Ask,
+    Entry,
+    Role,
+    Stored,
+    Times,
+    Voter,
+    Vote,
+)
+
+TIMES = Times(beat=20.0, wait=120.0)
+
+
+class Hall:
+    """Voters over disks and a network with faults drawn from a seed; `check` looks after each step.
+
+    `forgets`: a voter's vote is not on disk when it answers, which must be seen to break what is promised.
+    """
+
+    def __init__(self, seed: int, count: int = 3, forgets: bool = False) -> None:
+        self.chance, self.now = Random(seed), 0.0
+        self.names = tuple("abcdefg"[:count])
+        self.forgets = forgets
+        self.disks = {n: Stored() for n in self.names}
+        self.up: dict[str, Voter] = {}
+        self.until = dict.fromkeys(self.names, 0.0)  # stopped till then
+        self.way: list[tuple[float, str, str, Any]] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.leaders: dict[int, str] = {}
+        self.taken: list[Entry] = []  # the one sequence, as first seen committed
+        self.proposed = self.faults = 0
+        self.loss = 0.05
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        stored = copy.deepcopy(self.disks[name])
+        self.up[name] = Voter(name, self.names, stored, TIMES, self.chance, self.now)
+
+    def save(self, name: str) -> None:
+        voter = self.up[name]
+        stored = voter.unsaved()
+        if stored is not None:
+            had = self.disks[name]
+            self.disks[name] = copy.deepcopy(stored)
+            if self.forgets:
+                self.disks[name].term, self.disks[name].vote = had.term, had.vote
+            voter.saved()
+
+    def pass_on(self, name: str) -> None:
+        self.save(name)
+        for to, message in self.up[name].take_out():
+            for _ in range(self.chance.choice((1, 1, 1, 1, 2))):
+                if self.chance.random() >= self.loss:
+                    late = self.chance.choice((1.0, 2.0, 5.0, 5.0, 60.0))
+                    self.way.append((self.now + self.chance.uniform(0.5, 1.0) * late, name, to, message))
+
+    def step(self, faults: bool = True) -> None:
+        chance = self.chance
+        self.now += chance.uniform(0.5, 6.0)
+        if faults:
+            self.fault()
+        due = [e for e in self.way if e[0] <= self.now]
+        self.way = [e for e in self.way if e[0] > self.now]
+        for _, sender, to, message in due:
+            if to in self.up and (sender, to) not in self.cut:
+                if self.until[to] > self.now:
+                    self.way.append((self.until[to], sender, to, message))
+                else:
+                    self.up[to].hear(sender, message, self.now)
+                    self.pass_on(to)
+        for name, voter in list(self.up.items()):
+            if self.until[name] <= self.now:
+                voter.tick(self.now)
+                if voter.role is Role.LEADER and chance.random() < 0.05:
+                    self.proposed += voter.propose(b"%d" % self.proposed) is not None
+                if voter.commit - voter.stored.base > 12 and chance.random() < 0.2:
+                    upto = min(voter.commit - chance.randrange(6), len(self.taken))
+                    voter.compact(upto, repr(self.taken[:upto]).encode())
+                self.pass_on(name)
+        self.check()
+
+    def fault(self) -> None:
+        chance, name = self.chance, self.chance.choice(self.names)
+        match chance.randrange(160):
+            case 0 if name in self.up:
+                if chance.random() < 0.5:
+                    del self.up[name]  # between write and sync: what was not saved is gone
+                else:
+                    self.save(name)
+                    del self.up[name]
+            case 1 | 2 | 3 if name not in self.up:
+                self.start(name)
+            case 4:
+                self.until[name] = self.now + chance.uniform(20.0, 500.0)
+            case 5:
+                self.cut.add((name, chance.choice(self.names)))
+            case 6 | 7:
+                self.cut.clear()
+            case 8:
+                half = set(chance.sample(self.names, len(self.names) // 2))
+                self.cut = {(a, b) for a in self.names for b in self.names if (a in half) != (b in half)}
+            case _:
+                return
+        self.faults += 1
+
+    def check(self) -> None:
+        for name, voter in self.up.items():
+            if voter.role is Role.LEADER:
+                who = self.leaders.setdefault(voter.stored.term, name)
+                assert who == name, f"two leaders in term {voter.stored.term}"
+            base = voter.stored.base
+            for i, entry in enumerate(voter.entries(base, voter.commit), base):
+                if i < len(self.taken):
+                    assert self.taken[i] == entry, f"entry {i} was {self.taken[i]}, at {name} it is {entry}"
+                else:
+                    assert i == len(self.taken), f"{name} has entry {i} as taken before those below it"
+                    self.taken.append(entry)
+            if base:
+                assert voter.stored.state == repr(self.taken[:base]).encode(), "a snapshot of something else"
+
+
+def play(seed: int, steps: int = 500, **hall: Any) -> Hall:
+    played = Hall(seed, **hall)
+    for _ in range(steps):
+        played.step()
+    return played
+
+
+class Histories(unittest.TestCase):
+    def test_one_sequence_through_crashes_stops_and_cuts(self) -> None:
+        taken = faults = 0
+        for seed in range(150):
+            hall = play(seed, count=3 if seed % 3 else 5)
+            taken += len(hall.taken)
+            faults += hall.faults
+            # With the faults gone it goes on, and all come to the same end.
+            hall.cut.clear()
+            hall.loss = 0.0
+            for name in hall.names:
+                if name not in hall.up:
+                    hall.start(name)
+            before = len(hall.taken)
+            for _ in range(600):
+                hall.step(faults=False)
+            self.assertGreater(len(hall.taken), before, seed)
+            leaders = [v for v in hall.up.values() if v.role is Role.LEADER]
+            self.assertEqual(len(leaders), 1)
+            self.assertGreaterEqual(min(v.commit for v in hall.up.values()), before)
+        self.assertGreater(taken, 1000)
+        self.assertGreater(faults, 1000)
+
+    def test_a_vote_that_is_not_on_disk_makes_two_leaders(self) -> None:
+        with self.assertRaises(AssertionError):
+            for seed in range(400):
+                play(seed, forgets=True)
+
+
+class Rules(unittest.TestCase):
+    def voter(self, **stored: Any) -> Voter:
+        return Voter("a", ("a", "b", "c"), Stored(**stored), TIMES, Random(1), 0.0)
+
+    def lead(self) -> Voter:
+        voter = self.voter()
+        voter.tick(1000.0)
+        voter.hear("b", Vote(1, True, True), 1001.0)
+        voter.saved()
+        voter.hear("b", Vote(1, True, False), 1002.0)
+        self.assertIs(voter.role, Role.LEADER)
+        voter.saved()
+        return voter
+
+    def test_nothing_goes_out_before_it_is_on_disk(self) -> None:
+        voter = self.voter()
+        voter.hear("b", Ask(3, 0, 0, False), 1.0)
+        self.assertEqual(voter.take_out(), [])
+        assert voter.unsaved() is not None
+        voter.saved()
+        self.assertEqual(voter.take_out(), [("b", Vote(3, True, False))])
+        voter.hear("c", Ask(3, 9, 2, False), 2.0)  # one vote a term
+        self.assertEqual(voter.take_out(), [("c", Vote(3, False, False))])
+
+    def test_who_hears_a_leader_gives_no_pre_vote(self) -> None:
+        for since, given in [(50.0, False), (500.0, True)]:
+            voter = self.voter()
+            voter.hear("b", Append(1, 0, 0, (), 0, 1), 10.0)
+            voter.saved()
+            voter.take_out()
+            voter.hear("c", Ask(2, 5, 1, True), 10.0 + since)
+            self.assertEqual(voter.take_out(), [("c", Vote(2, given, True))])
+            self.assertEqual(voter.stored.term, 1)  # being asked disturbs nobody
+
+    def test_a_leader_without_a_majority_steps_down(self) -> None:
+        voter = self.lead()
+        now = 1002.0
+        while voter.role is Role.LEADER and now < 5000.0:
+            now += 10.0
+            voter.tick(now)
+            voter.saved()
+        self.assertLess(now, 1002.0 + 2.0 * TIMES.wait)
+        self.assertIsNone(voter.propose(b"x"))
+
+    def test_a_leader_counts_its_own_entry_only_once_it_is_on_disk(self) -> None:
+        voter = self.lead()
+        index = voter.propose(b"x")
+        assert index is not None
+        voter.hear("b", Appended(1, True, index, voter.rounds), 1010.0)
+        self.assertLess(voter.commit, index)
+        voter.saved()
+        self.assertEqual(voter.commit, index)
+
+    def test_strangers_are_not_heard_and_the_log_is_bounded(self) -> None:
+        voter = self.lead()
+        voter.hear("z", Append(99, 0, 0, (), 0, 1), 1010.0)
+        self.assertIs(voter.role, Role.LEADER)
+        while voter.propose(b"x") is not None:
+            voter.out.clear()
+        self.assertEqual(len(voter.stored.entries), LONGEST)
--- /dev/null
+++ b/tests/test_agreement_journal.py
@@ -0,0 +1,167 @@
+"""A voter's journal: what it finds after kills, torn and damaged files, a full disk and a lost sync."""
+
+from __future__ import annotations
+
+import copy
+import os
+import tempfile
+import unittest
+from random import Random
+from unittest import mock
+
+from landingshift import points
+from landingshift.policies import journal as journals
+from landingshift.policies.agreement import Entry, Stored
+from landingshift.policies.journal import BadJournal, Journal
+
+
+def changed(stored: Stored, chance: Random) -> Stored:
+    """As an agreement changes it: a new term, entries that come, go and are covered by a snapshot."""
+    s = copy.deepcopy(stored)
+    match chance.randrange(5):
+        case 0:
+            s.term, s.vote = s.term + 1, chance.choice(("", "a", "b"))
+        case 1 if s.entries:
+            del s.entries[chance.randrange(len(s.entries)) :]
+        case 2 if s.entries:
+            keep = chance.randrange(len(s.entries))
+            s.base, s.base_term = s.base + keep + 1, s.entries[keep].term
+            s.entries, s.state = s.entries[keep + 1 :], chance.randbytes(9)
+    for _ in range(chance.randrange(1, 4)):
+        s.entries.append(Entry(s.term, chance.randbytes(chance.randrange(20))))
+    return s
+
+
+class Kept(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = os.path.join(folder.name, "agreement")
+        self.addCleanup(points.arm, "")
+
+    def open(self) -> Journal:
+        journal = Journal(self.path, "lab", "a")
+        self.addCleanup(lambda: self.close(journal))
+        return journal
+
+    @staticmethod
+    def close(journal: Journal) -> None:
+        if journal.fd >= 0:
+            journal.close()
+            journal.fd = -1
+
+    def filled(self, saves: int, seed: int = 1) -> list[Stored]:
+        """What was on disk after each save."""
+        chance, journal = Random(seed), self.open()
+        states = [copy.deepcopy(journal.stored)]
+        for _ in range(saves):
+            states.append(changed(states[-1], chance))
+            journal.save(states[-1])
+        self.close(journal)
+        return states
+
+    def found(self) -> Stored:
+        journal = self.open()
+        self.close(journal)
+        return journal.stored
+
+    def test_there_and_back_through_many_changes(self) -> None:
+        states = self.filled(200)
+        self.assertEqual(self.found(), states[-1])
+
+    def test_a_kill_at_each_point_leaves_the_last_save_or_the_one_under_way(self) -> None:
+        chance = Random(2)
+        state = self.filled(3)[-1]
+        for point in ("policies.written", "policies.synced", "policies.rewritten"):
+            with mock.patch.object(journals, "LARGEST", 0 if point.endswith("rewritten") else 8 << 20):
+                journal = self.open()
+                after = changed(state, chance)
+                points.arm(point)
+                with self.assertRaises(points.Crash):
+                    journal.save(after)
+                points.arm("")
+                self.close(journal)
+            found = self.found()
+            self.assertIn(found, (state, after))
+            state = found
+
+    def test_cut_anywhere_in_the_last_frame_it_is_as_before_it_was_synced(self) -> None:
+        states = self.filled(6)
+        with open(self.path, "rb") as file:
+            data = file.read()
+        journal = self.open()
+        start = journal.end
+        journal.save(changed(states[-1], Random(5)))
+        self.close(journal)
+        with open(self.path, "rb") as file:
+            longer = file.read()
+        self.assertEqual(longer[:start], data)
+        os.unlink(self.path + ".seal")  # the kill came before it
+        for cut in range(start, len(longer)):
+            with open(self.path, "wb") as file:
+                file.write(longer[:cut])
+            self.assertEqual(self.found(), states[-1])
+
+    def test_damage_anywhere_is_named_or_was_never_synced(self) -> None:
+        self.filled(6)
+        with open(self.path, "rb") as file:
+            data = file.read()
+        for at in range(0, len(data), 3):
+            with open(self.path, "wb") as file:
+                file.write(data[:at] + bytes([data[at] ^ 0x55]) + data[at + 1 :])
+            # With its seal every change of what was synced is noticed, in the last frame too.
+            with self.subTest(at=at), self.assertRaises(BadJournal) as caught:
+                self.found()
+            self.assertIn(self.path, str(caught.exception))
+
+    def test_a_disk_that_lost_its_last_sync_is_noticed(self) -> None:
+        self.filled(4)
+        with open(self.path, "rb") as file:
+            earlier = file.read()
+        journal = self.open()
+        journal.save(changed(journal.stored, Random(3)))
+        self.close(journal)
+        with open(self.path, "wb") as file:
+            file.write(earlier)
+        with self.assertRaises(BadJournal) as caught:
+            self.found()
+        self.assertIn("replaced", str(caught.exception))
+
+    def test_anothers_journal_is_refused(self) -> None:
+        self.filled(1)
+        for fleet, name in [("lab", "b"), ("other", "a")]:
+            with self.assertRaises(BadJournal):
+                Journal(self.path, fleet, name)
+
+    def test_a_full_disk_changes_nothing_and_may_be_tried_again(self) -> None:
+        states = self.filled(3)
+        journal = self.open()
+        after = changed(states[-1], Random(4))
+        write = os.write
+
+        def half(fd: int, data: bytes) -> int:
+            write(fd, bytes(data)[: len(data) // 2])
+            raise OSError(28, "No space left on device")
+
+        with mock.patch.object(os, "write", half), self.assertRaises(OSError):
+            journal.save(after)
+        self.assertEqual(self.found(), states[-1])
+        journal.save(after)
+        self.close(journal)
+        self.assertEqual(self.found(), after)
+
+    def test_it_stays_bounded(self) -> None:
+        with mock.patch.object(journals, "LARGEST", 20_000):
+            chance, journal = Random(7), self.open()
+            state = Stored()
+            for _ in range(600):
+                state = changed(state, chance)
+                state.entries = state.entries[-20:] if len(state.entries) <= 20 else state.entries
+                if len(state.entries) > 20:
+                    drop = len(state.entries) - 20
+                    state.base, state.base_term = state.base + drop, state.entries[drop - 1].term
+                    state.entries = state.entries[drop:]
+                journal.save(state)
+                self.assertLess(os.path.getsize(self.path), 25_000)
+            self.close(journal)
+            self.assertEqual(self.found(), state)
