--- a/landingshift/cli/fleet.py
+++ b/landingshift/cli/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from typing import Any
 
 import click
@@ -58,9 +59,20 @@
     return f"{value:.6g}" if isinstance(value, float) else str(value)
 
 
-AT = click.option("--at", help="IPv4 address:port of a server's [fleet] listen.")
-TOML = click.option("--toml", type=click.Path(dir_okay=False), help="The file with [fleet].")
-JSON = click.option("--json", "as_json", is_flag=True, help="One JSON value, for pipes.")
+def where(command: Callable[..., None]) -> Callable[..., None]:
+    """The options of every command here, decoded to the address and `as_json`."""
+    at = click.option("--at", help="IPv4 address:port of a server's [fleet] listen.")
+    toml = click.option("--toml", type=click.Path(dir_okay=False), help="The file with [fleet].")
+    as_json = click.option("--json", "as_json", is_flag=True, help="One JSON value, for pipes.")
+    return at(toml(as_json(command)))
+
+
+def show(found: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        say(found)
+        return
+    for key, value in found.items():
+        click.echo(f"{key:14} {told(value)}")
 
 
 @click.group()
@@ -69,23 +81,17 @@
 
 
 @group.command()
-@AT
-@TOML
-@JSON
+@where
 def status(at: str | None, toml: str | None, as_json: bool) -> None:
     """How many are there, and how well this one hears."""
-    found = asked(at, toml, "status")
-    if as_json:
-        say(found)
-        return
-    for key, value in found.items():
-        click.echo(f"{key:10} {told(value)}")
+    show(asked(at, toml, "status"), as_json)
+
+
+FIXED = ("name", "address", "zone", "state", "for_ms")
 
 
 @group.command()
-@AT
-@TOML
-@JSON
+@where
 @click.option("--gone", is_flag=True, help="Those that are dead or left, too.")
 def members(at: str | None, toml: str | None, as_json: bool, gone: bool) -> None:
     """One line a server."""
@@ -97,34 +103,21 @@
         table(rows, (*FIXED, *facts))
 
 
-FIXED = ("name", "address", "zone", "state", "for_ms")
-
-
 @group.command()
-@AT
-@TOML
-@JSON
+@where
 def shares(at: str | None, toml: str | None, as_json: bool) -> None:
     """How far this one is on its way to warm, and what it may use of the store."""
-    found = asked(at, toml, "coldstart")
-    if as_json:
-        say(found)
-        return
-    for key, value in found.items():
-        click.echo(f"{key:10} {told(value)}")
+    show(asked(at, toml, "coldstart"), as_json)
 
 
 @group.command()
-@AT
-@TOML
-@JSON
+@where
 def lent(at: str | None, toml: str | None, as_json: bool) -> None:
     """What a lender has lent, and to whom."""
     found = asked(at, toml, "lent")
-    if as_json:
-        say(found)
-        return
-    held = found.pop("shares")
-    for key, value in found.items():
-        click.echo(f"{key:14} {told(value)}")
-    table([{"name": name, "calls_s": amount} for name, amount in sorted(held.items())], ("name", "calls_s"))
+    held = {} if as_json else found.pop("shares")
+    show(found, as_json)
+    if held:
+        table(
+            [{"name": name, "calls_s": amount} for name, amount in sorted(held.items())], ("name", "calls_s")
+        )
