Cold start: code that nothing calls is gone

Cause: read once more, Agent.next (a due time that neither the loop's service nor virtual time asks for) and a list of defences in lab/coldstart.py were dead. Change: both removed; behaviour as before.

--- a/landingshift/coldstart/agent.py
+++ b/landingshift/coldstart/agent.py
@@ -136,10 +136,6 @@
         record = self.node.members.get(name)
         return record is not None and record.state not in GONE
 
-    def next(self) -> float:
-        ends = [end for loans in self.loans.values() for end in (loans.share.end, loans.place.end)]
-        return min([self.ask_at, *(end for end in ends if end > self.node.now)])
-
     # Time
 
     def step(self, now: float, seen: Seen) -> bool:
--- a/landingshift/lab/coldstart.py
+++ b/landingshift/lab/coldstart.py
@@ -229,7 +229,6 @@
     "servers_5000": large(5000),
 }
 RARE = ("hour_of_load", "servers_1000", "servers_5000")  # once, whatever is repeated
-TAKEN = ("quiet", "booking", "shares", "places")
 
 
 def experiment(
