Agreement: a leader knows for how long nobody else can lead, and speaks only then

Need: what a leader promises to others by itself (a lease, an answer) must be over before a later leader acts. Change: who heard a leader within its wait gives another neither a vote nor ear for its term; a leader is sure while a majority answered a beat that went out less than nine tenths of that ago. Messages are msgspec structs, so that they can be read from bytes with bounds.

--- a/landingshift/policies/agreement.py
+++ b/landingshift/policies/agreement.py
@@ -11,10 +11,17 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
+from typing import Annotated
+
+from msgspec import Meta, Struct
 
 BATCH = 16  # entries in a message
 OUT = 1024  # messages that may wait for the driver
 LONGEST = 10_000  # entries that are kept after the last snapshot
+ROUNDS = 64  # beats whose times a leader keeps
+SURE = 0.9  # share of `wait` for which a leader may count on the promise of those who heard it
+
+Index = Annotated[int, Meta(ge=0, le=2**53)]
 
 
 class Role(Enum):
@@ -24,9 +31,8 @@
     LEADER = "leader"
 
 
-@dataclass(slots=True, frozen=True)
-class Entry:
-    term: int
+class Entry(Struct, array_like=True, frozen=True):
+    term: Index
     data: bytes
 
 
@@ -42,54 +48,49 @@
     entries: list[Entry] = field(default_factory=list)
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
+class Ask(Struct, array_like=True, frozen=True, forbid_unknown_fields=True, tag="a"):
     """For a vote, or `pre`: whether there would be one."""
 
-    term: int
-    last: int
-    last_term: int
+    term: Index
+    last: Index
+    last_term: Index
     pre: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Vote:
-    term: int
+class Vote(Struct, array_like=True, frozen=True, forbid_unknown_fields=True, tag="v"):
+    term: Index
     given: bool
     pre: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Append:
+class Append(Struct, array_like=True, frozen=True, forbid_unknown_fields=True, tag="e"):
     """Entries after `before`; none of them is a beat. `round` tells answers to old ones from new."""
 
-    term: int
-    before: int
-    before_term: int
-    entries: tuple[Entry, ...]
-    commit: int
-    round: int
+    term: Index
+    before: Index
+    before_term: Index
+    entries: Annotated[tuple[Entry, ...], Meta(max_length=BATCH)]
+    commit: Index
+    round: Index
 
 
-@dataclass(slots=True, frozen=True)
-class Appended:
+class Appended(Struct, array_like=True, frozen=True, forbid_unknown_fields=True, tag="r"):
     """`match`: up to where the logs are alike; where `good` is False, from where to try."""
 
-    term: int
+    term: Index
     good: bool
-    match: int
-    round: int
+    match: Index
+    round: Index
 
 
-@dataclass(slots=True, frozen=True)
-class Install:
+class Install(Struct, array_like=True, frozen=True, forbid_unknown_fields=True, tag="i"):
     """A snapshot for one that is further behind than the log goes back."""
 
-    term: int
-    base: int
-    base_term: int
+    term: Index
+    base: Index
+    base_term: Index
     state: bytes
-    round: int
+    round: Index
 
 
 Message = Ask | Vote | Append | Appended | Install
@@ -120,6 +121,8 @@
         self.match: dict[str, int] = {}
         self.heard: dict[str, float] = {}  # when each other last answered the leader
         self.rounds = 0
+        self.round_at: dict[int, float] = {}  # when the last rounds went out
+        self.acked_at: dict[str, float] = {}  # when the round went out that each other answered last
         self.synced = self.last  # up to where this voter's own log is on disk
         self.changed = False  # term, vote, snapshot or entries wait to be saved
         self.out: list[tuple[str, Message]] = []
@@ -196,6 +199,17 @@
         else:
             self.ask(True)
 
+    def sure(self, now: float) -> bool:
+        """Whether this leads, knows all that was taken before, and nobody else can lead just now.
+
+        Who answered a beat gives no vote for `wait` after it; a majority of them is in any majority. So what
+        is said while this holds is older than anything a later leader does.
+        """
+        if self.role is not Role.LEADER or self.term_at(self.commit) != self.stored.term:
+            return False
+        since = sorted([now, *(self.acked_at.get(other, -1e9) for other in self.others)], reverse=True)
+        return now < since[len(self.voters) // 2] + self.times.wait * SURE
+
     def most(self, count: int) -> bool:
         return 2 * count > len(self.voters)
 
@@ -225,20 +239,25 @@
             self.next = dict.fromkeys(self.others, self.last + 1)
             self.match = dict.fromkeys(self.others, 0)
             self.heard = dict.fromkeys(self.others, self.now)
+            self.acked_at.clear()
             self.due = self.now + self.times.beat
             # An entry of its own term commits all before it; without one they would wait for the next change.
             self.stored.entries.append(Entry(self.stored.term, b""))
             self.changed = True
             self.beat()
 
+    @property
+    def content(self) -> bool:
+        """It leads, or heard a leader lately: what that one may count on is that no other is chosen."""
+        return self.role is Role.LEADER or self.now - self.leader_at < self.times.wait
+
     def asked(self, who: str, m: Ask) -> None:
         mine = self.term_at(self.last)
         assert mine is not None
         good = (m.last_term, m.last) >= (mine, self.last)
         if m.pre:
             # Who hears a leader wants no other: a voter that was cut off must not unseat it on its return.
-            quiet = self.role is not Role.LEADER and self.now - self.leader_at >= self.times.wait
-            self.send(who, Vote(m.term, good and quiet and m.term > self.stored.term, True))
+            self.send(who, Vote(m.term, good and not self.content and m.term > self.stored.term, True))
             return
         if m.term < self.stored.term:
             self.send(who, Vote(self.stored.term, False, False))
@@ -278,6 +297,8 @@
 
     def beat(self) -> None:
         self.rounds += 1
+        self.round_at[self.rounds] = self.now
+        self.round_at.pop(self.rounds - ROUNDS, None)
         for other in self.others:
             self.feed(other)
 
@@ -336,6 +357,8 @@
         if self.role is not Role.LEADER or m.term != self.stored.term:
             return
         self.heard[who] = self.now
+        if m.round in self.round_at:
+            self.acked_at[who] = max(self.acked_at.get(who, -1e9), self.round_at[m.round])
         if m.good:
             self.match[who] = max(self.match[who], m.match)
             self.next[who] = max(self.next[who], self.match[who] + 1)
@@ -361,6 +384,8 @@
             return
         self.now = now
         term = message.term
+        if isinstance(message, Ask) and not message.pre and self.content and who != self.leader:
+            return  # not even its term: it would unseat the leader that others were promised to
         # A pre-vote is about a term that nobody is in yet.
         about = isinstance(message, Ask | Vote) and message.pre
         if term > self.stored.term and not about:
