Module: figures that change in place, and standing aside until it knows by what to decide

Need: a change of policy is taken on between two passes, and a server that can't know its version must run nothing new. Change: adopted() judges what is held by the new figures, all that is learned stays; stand_aside() pushes back with a hold-off where settings allow one, also in a drain, and lifts only what it set.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -12,19 +12,8 @@
 from random import Random
 from typing import Any
 
-from landingshift.interface import (
-    Actions,
-    Advert,
-    Below,
-    Effect,
-    Gauges,
-    Method,
-    Outcome,
-    Rpc,
-    Settings,
-    Stopping,
-    Tenant,
-)
+from landingshift.interface import Actions, Advert, Below, Effect, Gauges, Method, Outcome, Rpc, Settings
+from landingshift.interface import Stopping, Tenant
 
 TICK = 50.0  # between two looks at the gauges and the hold
 LAST = 10.0  # before its end that running work is answered for: it may still end by itself until then
@@ -103,9 +92,8 @@
 
     def lowest(self, now: float, none: float) -> float:
         self.turn(now)
-        return min(
-            (t / len(b) for t, b in zip(self.sums, self.buckets, strict=True) if len(b) > 7), default=none
-        )
+        means = (t / len(b) for t, b in zip(self.sums, self.buckets, strict=True) if len(b) > 7)
+        return min(means, default=none)
 
     def give(self) -> list[Any]:
         return [self.stamp, self.news, self.buckets, self.sums]
@@ -145,11 +133,15 @@
         self.at: Want | None = None
         self.arrived = now - rpc.waited
         self.due = max(now, now + rpc.remaining if rpc.remaining is not None else self.arrived + m.deadline)
-        self.target = min(self.arrived + m.target + m.target_stretch * (rpc.hint or 0.0), self.due)
-        self.span = max(1.0, self.limit - self.arrived)  # the whole of its time
+        self.aim()
         self.called_for = self.called_at = self.call_end = self.value = 0.0
         self.tries, self.ran, self.gain = 0, False, (1.0 - m.skip_share) * m.criticality  # of a call
 
+    def aim(self) -> None:
+        m = self.rpc.method
+        self.target = min(self.arrived + m.target + m.target_stretch * (self.rpc.hint or 0.0), self.due)
+        self.span = max(1.0, self.limit - self.arrived)  # the whole of its time
+
     def until(self, late_share: float) -> float:
         """The deadline, or the target where a late answer keeps no more than this share of its worth."""
         return self.due if self.rpc.method.late_share > late_share else min(self.due, self.target)
@@ -185,11 +177,8 @@
         self.advert, self.link_idle = -1.0, settings.link_idle
         self.weight = self.keeps_up = 1.0
         self.leave_at: float | None = None  # when the process is stopped
-        self.run_until, self.fails, self.alarm = (
-            inf,
-            0.0,
-            now,
-        )  # what arrives later is not run; when the next look is due
+        self.here = True  # neither leaving nor standing aside
+        self.run_until, self.fails, self.alarm = inf, 0.0, now  # later arrivals are not run; next look
         self.modes: dict[str, bool] = {}
         out.health(True, True)
         self.wake(TICK * Random(seed).random())  # so that a fleet does not look at its gauges in step
@@ -358,7 +347,8 @@
             self.resume(job, News.GONE)
 
     def quiesce(self, left: float) -> None:
-        self.run_until, self.leave_at = self.now + self.set.drain_grace, self.now + left
+        self.run_until, self.here = min(self.run_until, self.now + self.set.drain_grace), False
+        self.leave_at = self.now + left
         for job in (j for place in self.places.values() for j in place):
             job.due = min(job.due, self.leave_at - TICK)
         self.fails = 0.0
@@ -406,6 +396,20 @@
                 return by - LAST
         return self.now + TICK
 
+    def adopted(self) -> None:
+        """Figures of methods and tenants have changed in place: what is held is judged by them."""
+        self.shortest = min(m.target for m in self.set.methods)
+        for job in self.places[Want.HOLD]:
+            job.aim()
+            job.value = self.value(job)
+        self.fails = 0.0
+
+    def stand_aside(self, on: bool) -> None:
+        """It can't know by what to decide: runs nothing new until it does."""
+        self.here, self.fails = not on and self.leave_at is None, 0.0
+        self.run_until = inf if self.here else min(self.run_until, -inf if on else inf)
+        self.out.health(self.here, True)
+
     # A new build goes on where the old one was
 
     def rings(self) -> dict[str, Ring]:
@@ -609,27 +613,27 @@
         # Another try costs a read elsewhere: worth it only while marked tries show that others take them.
         walks = self.set.marks_retry and self.tries_seen.mean(self.now, 0.0) < WALKS
         final = not walks or job.rpc.retry or job.limit - self.now < job.learned.mean
-        away = 1.0 if self.leave_at is not None else 1.0 - self.keeps_up
-        self.out.push_back(job.rpc, self.set.hold_off_max * away, final and self.leave_at is None)
+        away = 1.0 - self.keeps_up if self.here else 1.0
+        self.out.push_back(job.rpc, self.set.hold_off_max * away, final and self.here)
 
     def tell(self) -> None:
         p, room = self.places, self.set.cores  # to hold one RPC a core
-        held, here = len(p[Want.HOLD]), self.leave_at is None
+        held = len(p[Want.HOLD])
         dt = (self.now - self.last) / 1000.0
         self.weight = max(HEARD, min(1.0, self.weight * (1.0 + dt * max(-1.0, (room - held) / room))))
         unread = self.unread.mean(self.now, 0.0)  # shows a slowed server before any run ends
         self.keeps_up = max(HEARD, 1.0 - unread / (UNREAD * self.shortest))
         self.mode("drowning", self.keeps_up < 0.3, f"unread for {unread:.0f} ms")
         self.mode("shedding", self.weight < 0.7, f"held {held} cap {self.cap:.0f} use {self.use:.2f}")
-        amount = self.weight * self.keeps_up * here
+        amount = self.weight * self.keeps_up * self.here
         if self.set.advert is Advert.LEVEL:
-            amount = 1.0 - self.weight * here
+            amount = 1.0 - self.weight * self.here
         elif self.set.advert is Advert.CREDIT:
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
             # By the share of the busiest caller: split evenly it would starve while others leave theirs.
             seen = Counter(self.callers.values(self.now))
             biggest = max(seen.values(), default=1) / max(1, seen.total())
-            amount = (busy + room) * biggest * self.keeps_up * here
+            amount = (busy + room) * biggest * self.keeps_up * self.here
         if round(amount, 3) != self.advert and self.set.advert is not Advert.NONE:
             self.advert = round(amount, 3)
             self.out.advertise(self.advert)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -241,6 +241,57 @@
         self.assertEqual(b.fates(late), ["push_back"])
         self.assertIn(("health", False, True), b.did)
 
+    def test_who_stands_aside_runs_nothing_new_says_so_and_answers_what_runs(self) -> None:
+        b = Bench(cores=1, hold_off_max=900.0)
+        runs, held = b.read(), b.read()
+        b.server.settle()
+        b.server.stand_aside(True)
+        b.server.settle()
+        late = b.read()
+        b.server.settle()
+        self.assertEqual([b.fates(j) for j in (runs, held, late)], [["run"], ["push_back"], ["push_back"]])
+        self.assertEqual(b.names("push_back")[-1][2:], (900.0, False))  # when to return, and that others may
+        self.assertEqual(b.names("health")[-1][1], False)
+        b.server.ended(runs, Outcome.OK, 5.0)
+        b.server.stand_aside(False)
+        self.assertEqual(b.names("health")[-1][1], True)
+        again = b.read()
+        b.server.settle()
+        self.assertEqual(b.fates(again), ["run"])
+
+    def test_standing_aside_and_a_notice_to_leave_in_either_order(self) -> None:
+        for first in ("aside", "leave"):
+            with self.subTest(first=first):
+                b = Bench()
+                steps = [lambda b=b: b.server.stand_aside(True), lambda b=b: b.server.quiesce(2000.0)]
+                for step in steps if first == "aside" else reversed(steps):
+                    step()
+                job = b.read()
+                b.server.settle()
+                self.assertEqual(b.fates(job), ["push_back"])  # though it came within the grace
+                b.server.stand_aside(False)
+                self.assertEqual(b.names("health")[-1][1], False)  # it still leaves
+                job = b.read()
+                b.server.settle()
+                self.assertEqual(b.fates(job), ["push_back"])
+
+    def test_figures_that_change_in_place_judge_what_is_held(self) -> None:
+        low, high = replace(METHOD), replace(METHOD, criticality=5.0)
+        b = Bench(low, high, cores=1)
+        runs = b.read(method=low)
+        b.server.settle()
+        jobs = [b.read(method=m) for m in (low, high)]
+        low.criticality, high.target = 9.0, 40.0
+        b.server.adopted()
+        self.assertEqual([round(j.target - j.arrived) for j in jobs], [1000, 40])
+        self.assertEqual(b.server.shortest, 40.0)
+        b.at(5.0)
+        b.server.ended(runs, Outcome.OK, 5.0)
+        b.server.settle()
+        self.assertEqual([b.fates(j) for j in jobs], [["run"], []])
+        b.tick(60.0)
+        self.assertEqual(b.fates(jobs[1]), ["push_back"])  # past the target that it has now
+
     def test_share_of_the_store(self) -> None:
         for calls_out in (0.2, 0.5, 3.0):
             with self.subTest(calls_out=calls_out):
