--- a/landingshift/coldstart/service.py
+++ b/landingshift/coldstart/service.py
@@ -52,7 +52,7 @@
         self.saved: list[Address] = []
         self.shared = -1.0
         self.noted: dict[str, tuple[float, ...]] = {}
-        self.router.health_state.hold()
+        self.router.health_state.hold(self.name)
         self.router.taps.add(self)
         fleet.talk.calls |= {"coldstart": self.status, "lent": self.lent}
         fleet.steps.append(self.step)
@@ -107,7 +107,7 @@
                 "coldstart", stage=start.stage.value, alone=start.by_itself, share=share, members=members
             )
             if start.open:
-                self.router.health_state.release()
+                self.router.health_state.release(self.name)
         if points.history:
             self.note()
         self.hand_share(now)
--- a/landingshift/fleet/service.py
+++ b/landingshift/fleet/service.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from landingshift.fleet import wire
+from landingshift.fleet.letters import Letters
 from landingshift.fleet.members import Member
 from landingshift.fleet.messages import GONE, Record, State
 from landingshift.fleet.node import Node, Times
@@ -54,6 +55,7 @@
         self.timer: Timer | None = None
         self.heard = self.said = self.unsent = 0
         self.steps: list[Callable[[], None]] = []  # of other rooms, called with each look
+        self.letters = Letters(self.loop, self.node, self.talk, settings.fleet)
         self.talk.calls |= {"members": self.members, "status": self.status}
         self.loop.watch(self.sock.fileno(), EVENT_READ, self)
         self.loop.after(0.0, self.tick)
--- a/landingshift/lab/rig.py
+++ b/landingshift/lab/rig.py
@@ -98,13 +98,15 @@
         asks: float,
         fill: int = 20,
         cold_ms: float = 2000.0,
+        work: float = 4.0,
+        cores: int = 8,
     ) -> None:
         self.folder, self.count, self.seed, self.toml, self.rate = folder, count, seed, toml, rate
         self.chance = Random(f"{seed} rig")
         self.net = unused_net()
         self.loop = Loop(self.fault)
         self.faults = 0
-        self.yard = Yard(self.loop, seed, bears, asks, fill, cold_ms)
+        self.yard = Yard(self.loop, seed, bears, asks, fill, cold_ms, work, cores)
         self.switch = Switch(self.loop, seed)
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         self.listens: dict[int, Address] = {}
@@ -148,7 +150,7 @@
         mine["classes"][0] |= {"late-share": 1.0, "repeat-window": 5000.0}
         mine["extra"] |= {
             "depends-on": "shared", "class-calls": [True], "class-skip-worth": [0.5], "calls-out": 50.0,
-            "calls-over": 5000.0, "linger": 100.0,
+            "calls-over": 5000.0, "linger": 100.0, "n-cores": self.yard.cores,
         }  # fmt: skip
         mine["rules"] |= {"cold": self.yard.cold_ms}
         config = {
--- a/landingshift/lab/standins.py
+++ b/landingshift/lab/standins.py
@@ -60,10 +60,11 @@
 
 
 class Engine(Link):
-    """Work takes `work` ms; while its cache is cold each run needs a call, later one in ten."""
+    """Work takes `work` ms of a core; while its cache is cold each run needs a call, later one in ten."""
 
     def __init__(self, yard: Yard, name: str, born: float) -> None:
         self.yard, self.name, self.born = yard, name, born
+        self.free = [0.0] * yard.cores  # when each core is
         self.lines = Lines(lambda words: words[0] in (b"RUN", b"FEED"))
         self.number = self.runs = 0
         self.bodies: dict[bytes, bytes] = {}
@@ -76,7 +77,8 @@
                     age = yard.loop.now - self.born
                     self.say(b"HELLO", b"new" if age < yard.cold_ms else b"old", b"%d" % age)
                 case [b"STAT", tag]:
-                    self.say(b"STATS", tag, b"0.2", b"1", b"0.1", b"3")
+                    busy = sum(at > yard.loop.now for at in self.free)
+                    self.say(b"STATS", tag, b"%.2f" % (busy / yard.cores), b"%d" % busy, b"0.1", b"3")
                 case [b"RUN", rid, *_]:
                     self.runs += 1
                     filled = yard.filled.get(self.name, 0)
@@ -98,7 +100,10 @@
             self.number += 1
             self.say(b"DONE", b"%d" % self.number, rid, b"good", b"%d" % self.yard.work, body=RESULT)
 
-        self.yard.loop.after(self.yard.work, done)
+        now = self.yard.loop.now
+        core = min(range(len(self.free)), key=self.free.__getitem__)
+        self.free[core] = max(now, self.free[core]) + self.yard.work
+        self.yard.loop.after(self.free[core] - now, done)
 
     def say(self, *words: bytes, body: bytes | None = None) -> None:
         self.stream.write(line(*words, body=body))
@@ -190,10 +195,18 @@
     """All stand-ins of one rig. `bears` calls a second, `asks` at the list; `cold_ms` of an engine."""
 
     def __init__(
-        self, loop: Loop, seed: int, bears: float, asks: float, fill: int, cold_ms: float, work: float = 4.0
+        self,
+        loop: Loop,
+        seed: int,
+        bears: float,
+        asks: float,
+        fill: int,
+        cold_ms: float,
+        work: float = 4.0,
+        cores: int = 8,
     ) -> None:
         self.loop, self.chance = loop, Random(f"{seed} yard")
-        self.fill, self.cold_ms, self.work = fill, cold_ms, work
+        self.fill, self.cold_ms, self.work, self.cores = fill, cold_ms, work, cores
         self.store = Crowd(loop, bears, 5.0, 2.0 * bears)
         self.list = Crowd(loop, asks, 5.0, 2.0 * asks)
         self.filled: dict[str, int] = {}  # calls that filled a server's cache
--- a/landingshift/lab/virtual.py
+++ b/landingshift/lab/virtual.py
@@ -25,15 +25,15 @@
 class Host:
     """One server: a mind behind an address, with its own clock, that may stand still or be slow."""
 
-    def __init__(self, world: World, address: Address, mind: Mind, offset: float) -> None:
-        self.world, self.address, self.mind, self.offset = world, address, mind, offset
+    def __init__(self, world: World, address: Address, mind: Mind, offset: float, pace: float = 1.0) -> None:
+        self.world, self.address, self.mind, self.offset, self.pace = world, address, mind, offset, pace
         self.up, self.until, self.lag = True, 0.0, 0.0
         self.waiting: list[Any] = []  # what came while it stood still
         self.due = float("inf")
         self.heard = self.said = 0
 
     def clock(self) -> float:
-        return self.world.now + self.offset
+        return self.world.now * self.pace + self.offset
 
     def stop(self, ms: float) -> None:
         self.until = self.world.now + ms
@@ -69,7 +69,7 @@
         for to, message in self.mind.take_out():
             self.said += 1
             self.world.carry(self.address, to, message)
-        due = max(self.mind.next() - self.offset, self.world.now)
+        due = max((self.mind.next() - self.offset) / self.pace, self.world.now)
         if due < self.due or self.due <= self.world.now:
             self.due = due
             late = self.world.chance.expovariate(1.0 / self.lag) if self.lag else 0.0
@@ -99,8 +99,8 @@
     def after(self, delay: float, action: Callable[[], object]) -> None:
         self.at(self.now + delay, action)
 
-    def start(self, address: Address, mind: Mind, offset: float = 0.0) -> Host:
-        host = self.hosts[address] = Host(self, address, mind, offset)
+    def start(self, address: Address, mind: Mind, offset: float = 0.0, pace: float = 1.0) -> Host:
+        host = self.hosts[address] = Host(self, address, mind, offset, pace)
         host.turn()
         return host
 
--- a/landingshift/net/program/features.py
+++ b/landingshift/net/program/features.py
@@ -22,6 +22,7 @@
     "ledger": "landingshift.ledger",
     "fleet": "landingshift.fleet",
     "coldstart": "landingshift.coldstart",
+    "policies": "landingshift.policies",
 }
 ENV = "LANDINGSHIFT_TOML"
 
--- a/landingshift/net/program/main.py
+++ b/landingshift/net/program/main.py
@@ -74,7 +74,7 @@
     gc.set_threshold(20_000, 20, 50)
     log("started", name=site.name, listen=router.gateways.listener.address, cold=site.settings.cold)
     loop.run()
-    for service in services:
+    for service in reversed(services):  # what one says at its end may go by another
         service.finish()
     log("stopped", connections=len(router.gateways.table))
     signals.seen.close()
--- a/landingshift/net/routing/health.py
+++ b/landingshift/net/routing/health.py
@@ -17,15 +17,16 @@
     def __init__(self, loop: Loop, name: str, roster: Datagrams, engine: Engine, deep_checks: bool) -> None:
         self.loop, self.name, self.roster, self.engine = loop, name, roster, engine
         self.good, self.cheap, self.deep_checks = True, True, deep_checks
-        self.reporting = self.ready = self.held = False
+        self.reporting = self.ready = False
+        self.held: set[str] = set()  # rooms for which it is kept back
 
-    def hold(self) -> None:
-        """Until released, neither the roster nor a check hears that it is good."""
-        self.held = True
+    def hold(self, room: str) -> None:
+        """Until all that hold it released it, neither the roster nor a check hears that it is good."""
+        self.held.add(room)
 
-    def release(self) -> None:
-        if self.held:
-            self.held = False
+    def release(self, room: str) -> None:
+        if room in self.held:
+            self.held.remove(room)
             if self.ready:
                 self.start()
 
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -92,11 +92,14 @@
         self.taps = Taps(report)
         self.mark = ""  # the field that names a client's try, where there is one
         self.gate: Gate | None = None  # where ok answers pass before they go out
+        self.before: Callable[[], None] | None = None  # asked before the module decides on what has come
         loop.settle = self.settle
 
     # The pass
 
     def settle(self) -> None:
+        if self.before is not None:
+            self.before()
         while self.todo or self.stirred:
             while self.todo:
                 self.todo.popleft()()
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -15,6 +15,7 @@
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 64  # accepted in a row
 LINGER = 1000.0  # ms that the other side has to close after we have
+IP_BIND_ADDRESS_NO_PORT = 24  # Linux: the port is chosen once the other side is known, so that they last
 PAUSE = 20.0  # ms without accepting after the descriptors ran out
 Address = tuple[str, int]
 
@@ -184,13 +185,20 @@
             owner.ended(self.reason)  # a reset after our own close is not why it ended
 
 
-def connect(loop: Loop, address: Address, owner: Owner, bound: int) -> Stream | str:
-    """A stream on its way, or the reason why there is none."""
+def connect(loop: Loop, address: Address, owner: Owner, bound: int, host: str = "") -> Stream | str:
+    """A stream on its way, or the reason why there is none. `host`: the address that it comes from."""
     try:
         sock = socket.socket()
     except OSError:
         return "unreachable"
     sock.setblocking(False)
+    if host and host != "0.0.0.0":
+        sock.setsockopt(socket.SOL_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+        try:
+            sock.bind((host, 0))
+        except OSError:
+            sock.close()
+            return "unreachable"
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     code = sock.connect_ex(address)
     if code in (0, errno.EINPROGRESS):
