A change of policy takes hold everywhere or nowhere: decisions, service, commands, experiment

Off unless [policies] is there. Found on the way and mended: a lease that began at clock 0, a full disk that silenced what did not rest on it, ends that only voters knew.

--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -63,6 +63,35 @@
     show(experiment(repeats, seed, servers, broken, only), file, plot)
 
 
+@group.command()
+@click.option("--repeats", type=click.IntRange(1, 100_000), default=5, show_default=True)
+@click.option("--histories", type=click.IntRange(1, 10_000_000), default=200, show_default=True)
+@click.option(
+    "--servers",
+    type=click.IntRange(0, 400),
+    default=0,
+    show_default=True,
+    help="Real processes; 0: virtual only.",
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
+@click.option("--break", "broken", type=click.Choice(["lease", "ask", "sure", "arm", "votes"]))
+@click.option("--only", help="One case by its name.")
+def policy(
+    repeats: int,
+    histories: int,
+    servers: int,
+    seed: int,
+    file: str | None,
+    broken: str | None,
+    only: str | None,
+) -> None:
+    """A change of policy takes hold everywhere or nowhere, whatever fails meanwhile."""
+    from landingshift.lab.policy import experiment
+
+    show(experiment(repeats, seed, servers, broken or "", only, histories), file)
+
+
 def show(found: Iterable[Row], file: str | None, plot: str | None = None) -> None:
     """A line a row as it is done; ends with status 1 where a promise did not hold."""
     rows = []
--- /dev/null
+++ b/landingshift/lab/policy.py
@@ -0,0 +1,273 @@
+"""A change of policy under what it is meant for, in virtual time and with real processes; a row a case.
+
+`away` takes one defence away: the rows that rest on it must then be broken.
+"""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+from landingshift.lab import MEMORY
+from landingshift.lab.assent import Hall, address, play
+from landingshift.lab.promises import broken
+from landingshift.lab.rows import Row, must
+from landingshift.policies.agreement import Role
+from landingshift.policies.part import ENDED
+
+CHUNK = 50  # histories that one worker plays at a time
+
+
+def judged(row: Row, hall: Hall) -> None:
+    """Promises, and that all is well in the end: one version everywhere, and one answer from everybody."""
+    row.broken += broken(hall.history, hall.plan.overlap)
+    minds = hall.minds.values()
+    versions = {m.follower.version for m in minds}
+    must(row, len(versions) == 1, f"versions {versions} in the end")
+    must(row, all(m.follower.joined for m in minds), "not all are counted in the end")
+    must(row, all(m.follower.may(m.clock()) for m in minds), "not all decide in the end")
+
+
+def histories(first: int, count: int, away: str) -> Row:
+    """With faults drawn from the seed."""
+    row = Row("histories", runs=count)
+    ends = {"taken": 0, "refused": 0, "withdrawn": 0}
+    for seed in range(first, first + count):
+        hall = play(seed, away=away)
+        had = len(row.broken)
+        judged(row, hall)
+        row.broken[had:] = [f"seed {seed}: {text}" for text in row.broken[had:]]
+        for entry in {(e[3], e[4]) for e in hall.history if e[1] == "end"}:
+            ends[entry[1]] += 1
+    row.figures |= ends
+    return row
+
+
+def leader(hall: Hall) -> str:
+    for name, mind in hall.minds.items():
+        voter = mind.part.voter
+        if name not in hall.down and voter is not None and voter.role is Role.LEADER:
+            return name
+    raise AssertionError("nobody leads")
+
+
+def taken(row: Row, hall: Hall, id: str) -> None:
+    ends = {hall.end(name, id) for name in hall.names if name not in hall.down} - {"unknown"}
+    must(row, ends == {"taken"}, f"{id} is {ends}")
+
+
+# One row for what must hold in a case of its own; each is given its seed and the defence that is away
+
+
+def without_faults(row: Row, seed: int, away: str) -> Hall:
+    """200 servers: how long a change takes."""
+    hall = Hall(seed, 200, 5, away=away)
+    hall.run(4000.0)
+    began = hall.world.now
+    id = hall.propose(f"n{seed % 200}", 1)
+    while hall.world.now < began + 10_000.0 and {m.follower.version for m in hall.minds.values()} != {1}:
+        hall.world.run(hall.world.now + 20.0)
+    top(row, "took_s", (hall.world.now - began) / 1000.0)
+    must(row, hall.world.now - began <= 2000.0, f"took {hall.world.now - began:.0f} ms")
+    hall.run(300.0)
+    taken(row, hall, id)
+    return hall
+
+
+def with_loss(row: Row, seed: int, away: str) -> Hall:
+    """200 servers and 5 % of all messages lost."""
+    hall = Hall(seed, 200, 5, away=away, wait=20_000.0)
+    hall.world.loss = 0.05
+    hall.run(5000.0)
+    id = hall.propose(f"n{seed % 200}", 1)
+    began = hall.world.now
+    while hall.world.now < began + 20_000.0 and {m.follower.version for m in hall.minds.values()} != {1}:
+        hall.world.run(hall.world.now + 50.0)
+    top(row, "took_s", (hall.world.now - began) / 1000.0)
+    hall.run(300.0)
+    taken(row, hall, id)
+    return hall
+
+
+def tenth_down(row: Row, seed: int, away: str) -> Hall:
+    """A tenth of 200 is down and stands aside in time: a change takes no more than the lease and 2 s."""
+    hall = Hall(seed, 200, 5, True, away=away, lease=3000.0, spare=300.0, wait=20_000.0)
+    hall.run(4000.0)
+    for i in range(20):
+        hall.kill(f"n{199 - i}")
+    id, began = hall.propose("n7", 1), hall.world.now
+    rest = [m for n, m in hall.minds.items() if n not in hall.down]
+    while hall.world.now < began + 20_000.0 and {m.follower.version for m in rest} != {1}:
+        hall.world.run(hall.world.now + 20.0)
+    top(row, "took_s", (hall.world.now - began) / 1000.0)
+    must(row, hall.world.now - began <= 5000.0, f"took {hall.world.now - began:.0f} ms")
+    hall.run(300.0)
+    taken(row, hall, id)
+    hall.settle(4000.0)
+    return hall
+
+
+def leader_wakes(row: Row, seed: int, away: str) -> Hall:
+    """A leader cut off with one member stands still and wakes: it must not vouch for that one any more."""
+    hall = Hall(seed, 5, 3, True, away=away)
+    hall.run(2500.0)
+    lead = leader(hall)
+    side = {address(lead), address("n4")}
+    hall.world.cut = lambda a, b: (a in side) != (b in side)
+    hall.hosts[lead].stop(5000.0)
+    other = next(n for n in hall.plan.voters if n != lead)
+    hall.run(1500.0)
+    id = hall.propose(other, 1)
+    hall.run(5000.0)
+    taken(row, hall, id)
+    hall.settle()
+    return hall
+
+
+def majority_gone(row: Row, seed: int, away: str) -> Hall:
+    """For good: those that run decide on."""
+    hall = Hall(seed, 6, 3, away=away)
+    hall.run(2500.0)
+    id = hall.propose("n5", 1)
+    hall.run(1500.0)
+    taken(row, hall, id)
+    hall.kill("n0")
+    hall.kill("n1")
+    since = hall.world.now + 2000.0
+    hall.run(20_000.0)
+    late = {e[2] for e in hall.history if e[1] == "decided" and e[0] > since}
+    must(row, late == {"n2", "n3", "n4", "n5"}, f"only {late} decide on")
+    hall.settle()
+    return hall
+
+
+def both_sides(row: Row, seed: int, away: str) -> Hall:
+    """Two changes at the same instant on both sides of a cut."""
+    hall = Hall(seed, 6, 3, away=away)
+    hall.run(2500.0)
+    half = {address(n) for n in ("n0", "n3", "n4")}
+    hall.world.cut = lambda a, b: (a in half) != (b in half)
+    one, two = hall.propose("n0", 1), hall.propose("n1", 2)
+    hall.run(3000.0)
+    hall.settle()
+    ends = {hall.end("n5", one), hall.end("n5", two)}
+    must(row, ends <= set(ENDED), f"they ended as {ends}")
+    return hall
+
+
+def refused(row: Row, seed: int, away: str) -> Hall:
+    """One can't read it."""
+    hall = Hall(seed, 5, 3, away=away)
+    hall.refusing["n4"] = lambda policy: "methods.m.criticality: not here" if policy else ""
+    hall.kill("n4")
+    hall.start("n4")
+    hall.run(2500.0)
+    id = hall.propose("n3", 1)
+    hall.run(1500.0)
+    said = hall.minds["n3"].part.known(id)["said"]
+    must(row, said == "n4: methods.m.criticality: not here", f"it says {said!r}")
+    must(row, not any(e[3] for e in hall.history if e[1] == "decided"), "it was decided by")
+    return hall
+
+
+def forgets(row: Row, seed: int, away: str) -> Hall:
+    """Voters die between write and sync all the while: what they promised must be on disk first."""
+    hall = Hall(seed, 4, 3, away=away)
+    for number in range(25):
+        hall.run(float(hall.chance.choice((60.0, 400.0))))
+        up = [n for n in hall.names if n not in hall.down]
+        hall.propose(hall.chance.choice(up), number)
+        victim = hall.chance.choice(hall.plan.voters)
+        if victim in up and len(up) > 1:
+            hall.kill(victim)
+        elif hall.down:
+            hall.start(hall.chance.choice(sorted(hall.down)))
+        half = {address(n) for n in hall.chance.sample(hall.plan.voters, 1)}
+        cut = hall.chance.random() < 0.5
+        hall.world.cut = (lambda a, b, half=half: (a in half) != (b in half)) if cut else (lambda a, b: False)  # type: ignore[misc]
+    hall.settle()
+    return hall
+
+
+VIRTUAL: dict[str, Callable[[Row, int, str], Hall]] = {
+    "without_faults": without_faults,
+    "with_loss": with_loss,
+    "tenth_down": tenth_down,
+    "leader_wakes": leader_wakes,
+    "majority_gone": majority_gone,
+    "both_sides": both_sides,
+    "refused": refused,
+    "forgets": forgets,
+}
+LARGE = ("without_faults", "with_loss", "tenth_down")  # 200 servers each
+
+
+def top(row: Row, name: str, value: float) -> None:
+    row.figures[name] = max(row.figures.get(name, 0.0), round(value, 2))
+
+
+def virtual(name: str, runs: int, seed: int, away: str) -> Row:
+    row = Row(name)
+    for i in range(max(1, runs // 10) if name in LARGE else runs):
+        judged(row, VIRTUAL[name](row, seed + i, away))
+        row.runs += 1
+    return row
+
+
+def many(count: int, seed: int, away: str) -> Row:
+    """Histories on all cores, put together."""
+    row = Row("histories")
+    chunks = [(seed + i, min(CHUNK, count - i), away) for i in range(0, count, CHUNK)]
+    with ProcessPoolExecutor() as pool:
+        for part in pool.map(histories, *zip(*chunks, strict=True)):
+            row.runs += part.runs
+            row.broken += part.broken
+            for key, value in part.figures.items():
+                row.figures[key] = row.figures.get(key, 0) + value
+    return row
+
+
+def real(name: str, servers: int, runs: int, seed: int) -> Row:
+    from landingshift.lab.policy_real import REAL
+
+    row = Row(name)
+    for i in range(runs):
+        with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
+            found = Row(name)
+            REAL[name](folder, servers, seed + i, found)
+            row.broken += [f"seed {seed + i}: {text}" for text in found.broken]
+            row.runs += 1
+            merge(row.figures, found.figures)
+    return row
+
+
+def merge(had: dict[str, Any], new: dict[str, Any]) -> None:
+    """Counts are added up, of other figures the largest stays."""
+    for key, value in new.items():
+        if isinstance(value, dict):
+            merge(had.setdefault(key, {}), value)
+        elif isinstance(value, int) and key not in ("versions", "overlap_ms"):
+            had[key] = had.get(key, 0) + value
+        elif isinstance(value, int | float):
+            had[key] = max(had.get(key, 0), value)
+        else:
+            had[key] = value
+
+
+def experiment(
+    repeats: int, seed: int, servers: int, away: str = "", only: str | None = None, count: int = 200
+) -> Iterator[Row]:
+    """`repeats` of each virtual row, `count` histories; `servers`: also the rows of real processes."""
+    if only in (None, "histories"):
+        yield many(count, seed, away)
+    for name in VIRTUAL:
+        if only in (None, name):
+            yield virtual(name, repeats, seed, away)
+    if servers:
+        from landingshift.lab.policy_real import REAL
+
+        for name in REAL:
+            if only in (None, name):
+                yield real(name, servers, repeats, seed)
--- /dev/null
+++ b/landingshift/policies/desk.py
@@ -0,0 +1,240 @@
+"""The leader's work on a change: who has answered, when all are armed, when it is over. Pure.
+
+Everything here may be lost with its leader: the next one asks anew. What must not be lost is in the book.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from landingshift.policies.agreement import Voter
+from landingshift.policies.book import Book, End, command
+from landingshift.policies.follower import Plan, Stage
+
+UNEVEN = 0.02  # share of a lease by which two monotonic clocks may run apart in it
+LOOK = 150.0  # ms between two looks sent to who has not answered yet
+LOOKS = 5000.0  # ms after a switch for which those are sent
+NAMED = 5  # of those that a change waits for, in its reason
+JOINS = 256  # that one entry takes
+STEP = 50.0  # ms between two looks at how far a change is
+IDLE = 500.0
+
+
+@dataclass(slots=True, eq=False)
+class Ack:
+    """What a server said last, and when it was last given a lease."""
+
+    run: int
+    version: int
+    change: str
+    stage: str
+    said: str
+    leased_at: float
+
+
+class Desk:
+    def __init__(self, voter: Voter, book: Book, plan: Plan, wall: Callable[[], float]) -> None:
+        """`wall`: Unix ms, for what people read; nothing is decided by it."""
+        self.voter, self.book, self.plan, self.wall = voter, book, plan, wall
+        self.out: list[tuple[str, list[Any]]] = []
+        self.term = 0
+        self.begin(0.0)
+
+    def begin(self, now: float) -> None:
+        """A term that this voter leads; grants of earlier leaders are older than it."""
+        self.since, self.acks = now, dict[str, Ack]()
+        self.joining: dict[str, int] = {}
+        self.switching, self.switch_at = "", 0  # the change, and the index of its entry
+        self.change, self.want, self.opened = "", "", now
+        self.over = ""  # the change whose end was proposed
+        self.looked, self.step_at = -1e9, now
+        self.joins_at = 0
+        self.version, self.switched = self.book.version, -1e9
+        self.asked: dict[str, int] = {}  # proposals by their entries' index
+
+    def leads(self, now: float) -> bool:
+        if not self.voter.sure(now):
+            return False
+        if self.voter.stored.term != self.term:
+            self.term = self.voter.stored.term
+            self.begin(now)
+        return True
+
+    def next(self) -> float:
+        return self.step_at
+
+    # What servers ask
+
+    def here(self, who: str, body: list[Any], now: float) -> None:
+        match body:
+            case [int(run), int(number), int(version), str(change), str(stage), str(said), str(mark)]:
+                pass
+            case _:
+                return
+        if not self.leads(now):
+            leader = self.voter.leader
+            self.out.append((who, ["ask", number, "" if leader == self.voter.name else leader]))
+            return
+        if mark != self.plan.mark:
+            why = f"its [policies] is another than {self.voter.name}'s: {mark}, not {self.plan.mark}"
+            self.out.append((who, ["no", number, why[:200]]))
+            return
+        book = self.book
+        joined = book.members.get(who) == run
+        if not joined and who not in book.members and len(book.members) >= book.most:
+            self.out.append((who, ["no", number, f"{book.most} members are counted, which is the most"]))
+            return
+        if not joined and len(self.joining) < JOINS:
+            self.joining[who] = run
+            self.step_at = now
+        had = self.acks.get(who)
+        leased_at = had.leased_at if had is not None else -1e9
+        # Nobody gets a lease for the old version once the switch may be agreed on.
+        leased = joined and not self.switching
+        self.acks[who] = Ack(run, version, change, stage, said, now if leased else leased_at)
+        if had is None or (had.change, had.stage) != (change, stage):
+            self.step_at = now
+        ended: list[Any] = []
+        if change and change != book.open:
+            found = book.found(change)
+            ended = [change, found.end.value, found.version] if found is not None else []
+        told = ["told", number, joined, book.version, book.open, self.want_of(), ended, leased]
+        self.out.append((who, told))
+
+    def want_of(self) -> str:
+        return self.want if self.change == self.book.open else "check" if self.book.open else ""
+
+    def wants(self, who: str, change: str, version: int, now: float) -> None:
+        """The text of the change under way, or of the version in force."""
+        if change and change == self.book.open:
+            self.out.append((who, ["text", change, 0, self.book.changes[change].policy]))
+        elif not change and version == self.book.version:
+            self.out.append((who, ["text", "", version, self.book.texts[version]]))
+
+    # What operators ask
+
+    def do(self, who: str, id: str, what: list[Any], now: float) -> None:
+        if not self.leads(now):
+            return
+        book, found = self.book, self.book.found(id)
+        match what:
+            case ["propose", bytes(policy), str(by), str(why)] if found is None:
+                self.propose(id, command("propose", id, policy, by, why, self.wall()))
+            case ["withdraw", str(by), str(why)] if found is None or found.end is End.OPEN:
+                said = f"withdrawn by {by}: {why}"
+                self.propose(f"{id} withdrawn", command("end", id, End.WITHDRAWN.value, said, self.wall()))
+            case ["gone", str(name)]:
+                run = book.members.get(name)
+                if run is not None:
+                    self.propose(f"{name} {run} gone", command("gone", name, run))
+                else:
+                    self.out.append((who, ["found", id, End.TAKEN.value, 0, f"{name} is not counted", []]))
+                return
+        if found is not None:
+            waits = [list(w) for w in self.waits(now)] if id == book.open else []
+            self.out.append((who, ["found", id, found.end.value, found.version, found.said, waits[:64]]))
+        elif book.full:
+            self.out.append((who, ["found", id, "unknown", 0, "the book is full", []]))
+        elif what[:1] == ["find"]:
+            self.out.append((who, ["found", id, "unknown", 0, "nobody has proposed it here", []]))
+
+    def propose(self, key: str, data: bytes) -> None:
+        """Once for each key until its entry is applied: doubles do no harm, this keeps them few."""
+        if self.asked.get(key, 0) <= self.voter.commit:
+            index = self.voter.propose(data)
+            if index is not None:
+                self.asked[key] = index
+
+    # How far a change is
+
+    def lapsed(self, name: str, now: float) -> bool:
+        """Whether it stands aside for certain: what it was given last has run out, by its own clock too."""
+        if not self.plan.aside:
+            return False
+        ack = self.acks.get(name)
+        at = max(self.since, ack.leased_at) if ack is not None else self.since
+        return now - at > self.plan.lease * (1.0 + UNEVEN) + self.plan.spare
+
+    def waits(self, now: float) -> list[tuple[str, str]]:
+        """Members that are not armed, and how far each is; "away" for one that says nothing."""
+        found = []
+        for name, run in self.book.members.items():
+            ack = self.acks.get(name)
+            fresh = ack is not None and ack.run == run and ack.change == self.book.open
+            stage = ack.stage if ack is not None and fresh else "away"
+            if stage != Stage.ARMED and not self.lapsed(name, now):
+                found.append((name, stage))
+        return found
+
+    def step(self, now: float) -> None:
+        if not self.leads(now):
+            self.step_at = now + IDLE
+            return
+        book = self.book
+        self.step_at = now + (STEP if book.open or self.joining else IDLE)
+        self.asked = {key: index for key, index in self.asked.items() if index > self.voter.commit}
+        self.join()
+        if self.version != book.version:
+            self.version, self.switched = book.version, now
+            self.looked = -1e9
+        if self.switching and (book.open != self.switching or self.voter.commit >= self.switch_at):
+            self.switching = ""  # taken, or void since a member came
+        if book.open != self.change:
+            self.change, self.want, self.opened = book.open, "check", now
+            self.looked = -1e9
+        if book.open:
+            self.drive(now)
+        self.look(now)
+
+    def join(self) -> None:
+        new = [[n, r] for n, r in self.joining.items() if self.book.members.get(n) != r]
+        if not new:
+            self.joining.clear()
+        elif self.joins_at <= self.voter.commit and not self.switching:  # it would make the switch void
+            index = self.voter.propose(command("join", new))
+            if index is not None:
+                self.joins_at = index
+
+    def drive(self, now: float) -> None:
+        book, id = self.book, self.book.open
+        if self.switching or self.over == id:
+            return
+        waits = self.waits(now)
+        refused = next((n for n, stage in waits if stage == Stage.REFUSED), "")
+        if refused:
+            self.end(id, End.REFUSED, f"{refused}: {self.acks[refused].said}")
+        elif now - self.opened > self.plan.wait:
+            names = ", ".join(f"{n} ({stage or 'no text yet'})" for n, stage in waits[:NAMED])
+            more = f" and {len(waits) - NAMED} more" if len(waits) > NAMED else ""
+            self.end(id, End.WITHDRAWN, f"not in time; it waited for {names}{more}")
+        elif not waits and book.members and not self.joining:
+            index = self.voter.propose(command("switch", id, book.joins))
+            if index is not None:
+                self.switching, self.switch_at = id, index
+        elif self.want == "check" and all(stage == Stage.READY for _, stage in waits):
+            self.want, self.looked = "arm", -1e9
+
+    def end(self, id: str, end: End, said: str) -> None:
+        if self.voter.propose(command("end", id, end.value, said, self.wall())) is not None:
+            self.over = id
+
+    def look(self, now: float) -> None:
+        """Asks those to come that are behind what is wanted of them."""
+        if now - self.looked < LOOK:
+            return
+        book, after = self.book, now - self.switched < LOOKS
+        if not book.open and not after:
+            return
+        self.looked = now
+        aim = {"check": (Stage.READY, Stage.ARMED), "arm": (Stage.ARMED,)}.get(self.want, ())
+        for name, run in book.members.items():
+            ack = self.acks.get(name)
+            if ack is None or ack.run != run or ack.version < book.version:
+                behind = True
+            else:
+                behind = bool(book.open) and (ack.change != book.open or ack.stage not in aim)
+                behind = behind or (not book.open and bool(ack.change))  # armed for what is over
+            if behind:
+                self.out.append((name, ["look"]))
--- /dev/null
+++ b/landingshift/policies/service.py
@@ -0,0 +1,286 @@
+"""A server's part in policies on its loop: messages, the journal, and what the module decides by."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from landingshift import points
+from landingshift.brain import Server
+from landingshift.fleet.messages import Record
+from landingshift.fleet.service import Fleet
+from landingshift.net.transport.loop import Timer
+from landingshift.policies.document import Base
+from landingshift.policies.follower import Stage
+from landingshift.policies.journal import BadJournal, Journal
+from landingshift.policies.part import Part
+from landingshift.policies.settings import Settings, plan
+
+if TYPE_CHECKING:
+    from landingshift.net.program.features import Host
+    from landingshift.net.routing.records import Routed
+
+ROOM = "policies"
+SOON = 1.0  # ms: no look is due before
+AGAIN = 500.0  # ms until a disk that took nothing is tried again
+PUMPS = 8  # times in a row that what was saved may bring about more to save
+
+
+class Policies:
+    name = "policies"
+
+    def __init__(self, host: Host, settings: Settings) -> None:
+        fleet = host.services["fleet"]
+        assert isinstance(fleet, Fleet)
+        self.fleet, self.node, self.log = fleet, fleet.node, host.log
+        self.router, self.loop, self.settings = host.router, host.router.loop, settings
+        site = self.router.site
+        self.base = Base(site.settings, site.methods, site.tenants)
+        self.journal: Journal | None = None
+        if site.name in settings.voters:
+            if not settings.journal:
+                raise ValueError("journal: is needed: this server is among voters")
+            try:
+                self.journal = Journal(settings.journal, fleet.settings.fleet, site.name)
+            except BadJournal as err:
+                raise ValueError(f"journal: {err}") from err
+            except OSError as err:
+                raise ValueError(f"journal: {settings.journal}: {err.strerror}") from err
+        me, chance = self.node.me, Random(f"{site.seed} policies {site.name}")
+        stored = self.journal.stored if self.journal is not None else None
+        self.part = Part(
+            me.name, me.run, plan(settings), self.base.check, stored, chance, self.loop.now, points.wall,
+            most=settings.most,
+        )  # fmt: skip
+        self.follower = self.part.follower
+        self.laid = 0  # the version that the module goes by
+        self.server: Server | None = None  # the module that was last told whether it may decide
+        self.may = False
+        self.full_since, self.save_at = -1.0, 0.0  # since when the disk takes nothing; next try
+        self.timer: Timer | None = None
+        self.seen: tuple[Any, ...] = ("", Stage.NONE, "", False, "")
+        self.node.rooms[ROOM] = self.hear
+        self.router.before = self.before
+        self.router.health_state.hold(self.name)  # no gateway need hear of one that can't decide yet
+        if points.history:
+            self.router.taps.add(self)
+        fleet.talk.calls |= {
+            "policy_do": self.do, "policy_known": self.known, "policy_status": self.status,
+            "policy_history": self.history, "policy_text": self.text,
+        }  # fmt: skip
+        self.loop.after(0.0, self.tick)
+
+    # Time and messages: the clock is read anew, since what came may be younger than the pass
+
+    def hear(self, sender: Record, body: list[Any]) -> None:
+        self.part.hear(sender.name, body, self.loop.clock())
+        self.pass_on()
+
+    def tick(self) -> None:
+        self.timer = None
+        now = self.loop.clock()
+        if self.part.next() <= now:
+            self.part.tick(now)
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        """Saves what must be on disk first, then sends; looks again when something is due."""
+        for _ in range(PUMPS):
+            saved = self.save()
+            out = self.part.take_out()  # with a full disk all but what would rest on it
+            for to, body in out:
+                self.fleet.letters.say(to, ROOM, body)
+            if not saved or not out:
+                break
+        self.fleet.pass_on()
+        self.tell()
+        at = max(self.part.next(), self.loop.now + SOON)
+        if self.timer is None or at < self.timer.at - SOON:
+            self.loop.cancel(self.timer)
+            self.timer = self.loop.after(at - self.loop.now, self.tick)
+
+    def save(self) -> bool:
+        """False where the disk takes nothing: nothing that rests on it may go out."""
+        stored = self.part.unsaved()
+        if stored is None or self.journal is None:
+            return True
+        if self.loop.now < self.save_at:
+            return False
+        try:
+            self.journal.save(stored)
+        except OSError as err:
+            self.save_at = self.loop.now + AGAIN
+            if self.full_since < 0.0:
+                self.full_since = self.loop.now
+                self.log("policy_unsaved", journal=self.settings.journal, error=str(err))
+            return False
+        if self.full_since >= 0.0:
+            self.log("policy_saved_again", after_ms=round(self.loop.now - self.full_since))
+            self.full_since = -1.0
+        self.part.saved(self.loop.clock())
+        self.part.deliver(self.loop.clock())
+        return True
+
+    # What the module decides by
+
+    def before(self) -> None:
+        """Called at the end of each pass, before the module starts or turns away anything."""
+        server, f = self.router.server, self.follower
+        if server is None:
+            return
+        now = self.loop.clock() if f.leased else self.loop.now
+        if f.version > self.laid:
+            self.lay(server)
+        may = f.may(now)
+        if may != self.may or server is not self.server:
+            self.may, self.server = may, server
+            if server.leave_at is None or not may:
+                server.now = self.loop.now
+                server.stand_aside(not may)
+                self.router.stirred = True
+            if may:
+                self.router.health_state.release(self.name)
+            self.log("policy_aside", on=not may, version=f.version, why="" if may else self.why())
+
+    def lay(self, server: Server) -> None:
+        points.reach("policies.laid")
+        self.base.lay(self.follower.policy)
+        server.now = self.loop.now
+        server.adopted()
+        self.router.stirred = True
+        self.laid = self.follower.version
+        self.log("policy_version", version=self.laid)
+
+    def why(self) -> str:
+        f = self.follower
+        if f.refused:
+            return f.refused
+        if not f.joined:
+            return "no leader has counted it yet"
+        if f.newest > f.version:
+            return f"version {f.newest} is in force, its text is not here yet"
+        return (
+            f"no word from the leader for too long, during {f.change}" if f.change else "no word for too long"
+        )
+
+    def tell(self) -> None:
+        """A line for what changes in a change."""
+        f, book = self.follower, self.part.book
+        voter = self.part.voter
+        leads = voter is not None and voter.sure(self.loop.clock())
+        step = ""  # of the change, at the one who leads it
+        if leads and self.part.desk is not None and book.open:
+            step = "switching" if self.part.desk.switching else self.part.desk.want
+        seen = (f.change, f.stage, book.open, leads, step)
+        if seen == self.seen:
+            return
+        had, self.seen = self.seen, seen
+        if step != had[4]:
+            points.reach(f"policies.leads_{step or 'none'}")
+        if f.stage is not had[1] or f.change != had[0]:
+            points.reach(f"policies.{f.stage.value or 'none'}")
+            self.log("policy_stage", change=f.change, stage=f.stage.value, said=f.said)
+        if leads != had[3]:
+            self.log("policy_leads", on=leads, term=voter.stored.term if voter is not None else 0)
+        if book.open != had[2] and had[2]:
+            change = book.found(had[2])
+            if change is not None:
+                self.log("policy_ended", change=change.id, end=change.end.value, said=change.said)
+
+    # For a history
+
+    def started(self, _rpc: Routed) -> None:
+        self.note()
+
+    def answered(self, _rpc: Routed, how: str) -> None:
+        if how == "pushed_back" and self.may:
+            self.note()
+
+    def note(self) -> None:
+        f = self.follower
+        points.note("decided", self.node.me.name, self.laid, f.policy if f.version == self.laid else b"")
+
+    # For operators
+
+    def do(self, params: list[Any]) -> bool:
+        """[id, what, ...]: brought to the leader; False where too many are under way."""
+        match params:
+            case [str(id), *what] if 0 < len(id) <= 64 and what and fits(what):
+                good = self.part.ask_for(id, what, self.loop.clock())
+                self.pass_on()
+                return good
+        raise ValueError("an id and what is to be done are expected")
+
+    def known(self, params: list[Any]) -> dict[str, Any]:
+        match params:
+            case [str(id)]:
+                return self.part.known(id)
+        raise ValueError("an id is expected")
+
+    def status(self, _params: list[Any]) -> dict[str, Any]:
+        f, now = self.follower, self.loop.clock()
+        voter, book = self.part.voter, self.part.book
+        record = self.node.members.get(f.leader) if f.leader else None
+        found: dict[str, Any] = {
+            "name": self.node.me.name, "version": self.laid, "decides": f.may(now),
+            "why_not": "" if f.may(now) else self.why(), "newest": f.newest, "leader": f.leader,
+            "leader_at": f"{record.host}:{record.port}" if record is not None else "",
+            "change": f.change, "stage": f.stage.value, "said": f.said,
+            "when_cut_off": self.settings.when_cut_off,
+        }  # fmt: skip
+        if voter is not None and self.part.desk is not None:
+            leads = voter.sure(now)
+            found |= {"voter": voter.role.value, "term": voter.stored.term, "taken_entries": voter.commit}
+            found |= {"leads": leads, "counted": len(book.members), "open": book.open}
+            if leads:
+                found["waits_for"] = [list(w) for w in self.part.desk.waits(now)][:64] if book.open else []
+        return found
+
+    def history(self, _params: list[Any]) -> list[dict[str, Any]]:
+        """Raises ValueError on a server that is no voter."""
+        if self.part.voter is None:
+            raise ValueError("it is no voter: ask one of them")
+        return [
+            {
+                "id": c.id, "end": c.end.value, "version": c.version, "who": c.who, "why": c.why,
+                "at": c.at, "said": c.said,
+            }
+            for c in self.part.changes()
+        ]  # fmt: skip
+
+    def text(self, params: list[Any]) -> bytes:
+        """The policy of a version; raises ValueError where it is not kept."""
+        match params:
+            case [int(version)]:
+                if version == self.follower.version:
+                    return self.follower.policy
+                kept = self.part.book.texts.get(version)
+                if kept is not None:
+                    return kept
+                raise ValueError(f"version {version}: its text is not kept here")
+        raise ValueError("a version is expected")
+
+    def finish(self) -> None:
+        """The loop has ended: nothing more is decided here, which is what the others wait for."""
+        self.part.bye()
+        for to, body in self.part.take_out():
+            self.node.say(to, ROOM, body)
+        self.fleet.pass_on()
+        if self.journal is not None:
+            self.journal.close()
+
+
+def fits(what: list[Any]) -> bool:
+    match what:
+        case ["propose", bytes(policy), str(who), str(why)]:
+            return len(policy) <= 65_536 and len(who) <= 64 and len(why) <= 300
+        case ["withdraw", str(who), str(why)]:
+            return len(who) <= 64 and len(why) <= 300
+        case ["gone", str()] | ["find"]:
+            return True
+    return False
+
+
+def attach(host: Host, settings: Settings) -> Policies:
+    """Raises ValueError("journal: ...") where it can't be used."""
+    return Policies(host, settings)
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,334 @@
+"""A change of policy: what a policy may say, the book, one server's rules, and histories in virtual time."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+from random import Random
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from landingshift.interface import Method
+from landingshift.lab.policy import VIRTUAL, histories, virtual
+from landingshift.lab.promises import broken
+from landingshift.net.program.config import site
+from landingshift.policies.book import IDS, SHOWN, TEXTS, Book, End, command
+from landingshift.policies.document import BadPolicy, Base, differs, flat, parse, read
+from landingshift.policies.follower import Follower, Plan, Stage
+from tests.helpers import CONFIG
+
+
+def base() -> Base:
+    found = site(CONFIG | {"name": "n0"}, {})
+    return Base(found.settings, found.methods, found.tenants)
+
+
+class Documents(unittest.TestCase):
+    def test_what_no_build_can_read_names_its_key(self) -> None:
+        for text, said in [
+            ("x = [", "no TOML: "),
+            ("[method.a]\n", "method: no such table"),
+            ("[methods]\na = 1\n", "methods.a: a table is expected"),
+            ("[methods.a]\nworth = 1\n", "methods.a.worth: no such key"),
+            ("[methods.a]\ncriticality = -1\n", "methods.a.criticality: a number of 0 or more"),
+            ("[methods.a]\ncriticality = true\n", "methods.a.criticality: a number of 0 or more"),
+            ("[methods.a]\ncriticality = nan\n", "methods.a.criticality: a number of 0 or more"),
+            ("[methods.a]\nlate_share = 0.5\n", "methods.a.late_share: needs format = 2"),
+            ("format = 2\n[methods.a]\nlate_share = 1.5\n", "methods.a.late_share: a number"),
+            ("[rules]\nover_share_worth = 2\n", "rules.over_share_worth: a number"),
+            ("format = 3\n", "format: this build reads up to 2, not 3"),
+            ("rules = 1\n", "rules: a table is expected"),
+            ("[methods.a]\ncriticality = 99999999999999999999\n", "the whole: "),
+            ("[methods.a]\ncriticality = 2026-12-02\n", "methods.a.criticality: a number"),
+            ("[tenants.a]\n" + "".join(f"[tenants.b{i}]\nallowance_s = 1\n" for i in range(4000)),
+             "the whole: "),
+        ]:  # fmt: skip
+            with self.subTest(text=text[:60]), self.assertRaises(BadPolicy) as caught:
+                parse(text)
+            self.assertTrue(str(caught.exception).startswith(said), caught.exception)
+
+    def test_what_this_server_cannot_decide_by_is_refused_with_its_key(self) -> None:
+        one = next(iter(base().owners["methods"]))
+        for text, said in [
+            ("[methods.nowhere]\ncriticality = 1\n", "methods.nowhere: this server has none of that name"),
+            (f"[methods.{one}]\ntarget_ms = 0\n", f"methods.{one}.target_ms: 0 would turn all away"),
+            (f"[methods.{one}]\ntarget_ms = 1e9\n", f"methods.{one}.target_ms: more than its deadline"),
+            (f"[methods.{one}]\ncriticality = 3\n", ""),
+        ]:
+            with self.subTest(text=text):
+                self.assertTrue(base().check(parse(text)).startswith(said))
+        self.assertIn("the whole", base().check(b"\xc1"))
+        silent = base()
+        silent.start["rules", "", "hold_off_max"] = 0.0
+        said = silent.check(parse("[rules]\nhold_off_max_ms = 9\n"))
+        self.assertEqual(said, "rules.hold_off_max_ms: its settings permit no hold-off")
+        self.assertIn("tables are expected", base().check(msgspec.msgpack.encode([1])))
+
+    def test_a_policy_is_whole_and_the_next_takes_back_what_it_does_not_name(self) -> None:
+        found = base()
+        name, method = next(iter(found.owners["methods"].items()))
+        assert isinstance(method, Method)
+        was = method.criticality, method.target
+        found.lay(parse(f"[methods.{name}]\ncriticality = 77\n"))
+        self.assertEqual((method.criticality, method.target), (77.0, was[1]))
+        found.lay(parse(f"[methods.{name}]\ntarget_ms = 5\n"))
+        self.assertEqual((method.criticality, method.target), (was[0], 5.0))
+        found.lay(b"")
+        self.assertEqual((method.criticality, method.target), was)
+
+    def test_differences_are_told_by_key(self) -> None:
+        a = parse("[methods.a]\ncriticality = 1\ntarget_ms = 5\n[rules]\nover_share_worth = 0.5\n")
+        b = parse("[methods.a]\ncriticality = 2\ntarget_ms = 5\n[tenants.t]\nallowance_s = 3\n")
+        self.assertEqual(
+            differs(a, b, str),
+            [
+                "methods.a.criticality: 1.0 -> 2.0",
+                "rules.over_share_worth: 0.5 -> None",
+                "tenants.t.allowance_s: None -> 3.0",
+            ],
+        )
+        self.assertEqual(flat(b""), {})
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.binary(max_size=200))
+    def test_no_bytes_get_past_the_reader(self, data: bytes) -> None:
+        with contextlib.suppress(BadPolicy):
+            read(data, 2)
+
+    @settings(max_examples=100, deadline=None)
+    @given(st.recursive(st.none() | st.integers(-2**63, 2**63) | st.floats() | st.text(max_size=5),
+                        lambda inner: st.lists(inner, max_size=3) | st.dictionaries(
+                            st.sampled_from(["methods", "tenants", "rules", "format", "a", "criticality"]),
+                            inner, max_size=3), max_leaves=8))  # fmt: skip
+    def test_nor_does_anything_else_that_is_whole(self, value: Any) -> None:
+        try:
+            found = read(msgspec.msgpack.encode(value), 2)
+        except BadPolicy:
+            return
+        self.assertEqual(set(found), {"methods", "tenants", "rules"})
+
+
+class Books(unittest.TestCase):
+    def book(self, *commands: bytes) -> Book:
+        book = Book(4)
+        for one in commands:
+            book.apply(one)
+        return book
+
+    def test_what_becomes_of_changes(self) -> None:
+        join = command("join", [["a", 1], ["b", 2]])
+        one, two = (command("propose", id, b"p" + id.encode(), "me", "why", 0.0) for id in ("1", "2"))
+        back = command("propose", "3", b"", "me", "why", 0.0)
+        end = command("end", "1", "refused", "no", 0.0)
+        switch = command("switch", "1", 1 + 1)
+        for commands, version, ends in [
+            ([join, one], 0, {"1": End.OPEN}),
+            ([join, one, one], 0, {"1": End.OPEN}),
+            ([join, one, two], 0, {"1": End.OPEN, "2": End.REFUSED}),
+            ([join, one, switch], 1, {"1": End.TAKEN}),
+            ([join, one, switch, end], 1, {"1": End.TAKEN}),  # too late to be withdrawn
+            ([join, one, end, switch], 0, {"1": End.REFUSED}),
+            ([join, one, end, one], 0, {"1": End.REFUSED}),  # its id is spent
+            ([end, one], 0, {"1": End.REFUSED}),  # withdrawn before it was proposed
+            ([join, one, command("join", [["c", 3]]), switch], 0, {"1": End.OPEN}),  # c was not asked
+            ([join, one, command("join", [["a", 1]]), switch], 1, {"1": End.TAKEN}),  # nothing new
+            ([join, one, command("join", [["a", 9]]), switch], 0, {"1": End.OPEN}),  # a is another run
+            ([back], 0, {"3": End.REFUSED}),  # it says what is in force
+            ([b"", one], 0, {"1": End.OPEN}),
+        ]:
+            with self.subTest(commands=commands):
+                book = self.book(*commands)
+                self.assertEqual(book.version, version)
+                self.assertEqual({id: c.end for id, c in book.changes.items()}, ends)
+                again = Book()
+                again.load(book.dump())
+                self.assertEqual(again.dump(), book.dump())
+
+    def test_members_are_bounded_and_go_by_name_and_run(self) -> None:
+        book = self.book(command("join", [[n, 1] for n in "abcdef"]))
+        self.assertEqual(list(book.members), list("abcd"))
+        book.apply(command("gone", "a", 9))
+        self.assertIn("a", book.members)
+        book.apply(command("gone", "a", 1))
+        book.apply(command("join", [["e", 1], ["b", 2]]))
+        self.assertEqual(book.members, {"b": 2, "c": 1, "d": 1, "e": 1})
+
+    def test_words_are_forgotten_but_never_whether_it_was_taken(self) -> None:
+        book = Book()
+        many = SHOWN + TEXTS + 10
+        for i in range(many):
+            book.apply(command("propose", f"c{i}", b"%d" % i, "me", "why", 0.0))
+            if i % 2:
+                book.apply(command("switch", f"c{i}", 0))
+            else:
+                book.apply(command("end", f"c{i}", "withdrawn", "", 0.0))
+        self.assertLessEqual(len(book.changes), SHOWN + 1)
+        self.assertLessEqual(len(book.texts), TEXTS + 1)
+        for i in range(many):
+            found = book.found(f"c{i}")
+            assert found is not None
+            self.assertEqual(
+                (found.end is End.TAKEN, found.version), (bool(i % 2), (i + 1) // 2 if i % 2 else 0)
+            )
+        book.ids |= dict.fromkeys(map(str, range(IDS)), 0)
+        book.apply(command("propose", "one more", b"x", "me", "why", 0.0))
+        self.assertIsNone(book.found("one more"))  # what can't be kept for ever is not begun
+
+
+PLAN = Plan(("v",), False, overlap=1000.0, lease=3000.0)
+
+
+class Following(unittest.TestCase):
+    """One server's rules, message by message; `hold` is 800 ms."""
+
+    def follower(self, aside: bool = False, check: str = "") -> Follower:
+        plan = Plan(("v",), aside, overlap=1000.0, lease=3000.0)
+        return Follower("a", 1, plan, lambda _: check, Random(1), 0.0)
+
+    def told(
+        self, f: Follower, now: float, version: int = 0, change: str = "", want: str = "", ended: Any = (),
+        leased: bool = True, sent: float | None = None,
+    ) -> None:  # fmt: skip
+        f.ask(now if sent is None else sent)
+        f.hear("v", ["told", f.number, True, version, change, want, list(ended), leased], now)
+        f.out.clear()
+
+    def start(self, aside: bool = False, check: str = "") -> Follower:
+        f = self.follower(aside, check)
+        self.told(f, 10.0)
+        f.hear("v", ["text", "", 0, b""], 11.0)
+        return f
+
+    def arm(self, f: Follower, now: float) -> None:
+        self.told(f, now, change="c", want="check")
+        f.hear("v", ["text", "c", 0, b"new"], now)
+        self.told(f, now, change="c", want="arm")
+        self.assertIs(f.stage, Stage.ARMED)
+
+    def test_nothing_is_decided_before_it_is_counted_and_has_the_text(self) -> None:
+        f = self.follower()
+        self.assertFalse(f.may(0.0))
+        self.told(f, 10.0, version=3)
+        self.assertFalse(f.may(10.0))
+        f.hear("v", ["text", "", 2, b"older"], 11.0)
+        self.assertFalse(f.may(11.0))
+        f.hear("v", ["text", "", 3, b"it"], 12.0)
+        self.assertTrue(f.may(12.0))
+        self.assertEqual((f.version, f.policy), (3, b"it"))
+
+    def test_between_changes_it_serves_on_without_a_word_unless_it_is_to_stand_aside(self) -> None:
+        self.assertTrue(self.start().may(1e9))
+        f = self.start(aside=True)
+        self.told(f, 100.0)
+        self.assertTrue(f.may(3099.0))
+        self.assertFalse(f.may(3100.0))
+
+    def test_armed_it_decides_under_leases_that_count_from_when_it_asked(self) -> None:
+        f = self.start()
+        self.arm(f, 1000.0)
+        self.assertTrue(f.may(1799.0))
+        self.assertFalse(f.may(1800.0))
+        self.told(f, 1700.0, change="c", want="arm", sent=1200.0)
+        self.assertTrue(f.may(1999.0))
+        self.assertFalse(f.may(2000.0))
+        self.told(f, 1900.0, change="c", want="arm", leased=False)  # the switch is being agreed on
+        self.assertFalse(f.may(2000.0))
+
+    def test_arming_shortens_a_lease_that_it_has(self) -> None:
+        f = self.start(aside=True)
+        self.told(f, 900.0)
+        self.arm(f, 1000.0)
+        self.assertFalse(f.may(1800.0))
+
+    def test_a_word_from_before_the_change_does_not_free_it(self) -> None:
+        f = self.start()
+        f.ask(990.0)
+        late = f.number  # answered before the change was opened, and long under way
+        self.arm(f, 1000.0)
+        f.hear("v", ["told", late, True, 0, "", "", [], True], 1900.0)
+        self.assertIs(f.stage, Stage.ARMED)
+        self.told(f, 1900.0, leased=False)  # nor one that does not say what became of this very change
+        self.assertIs(f.stage, Stage.ARMED)
+        self.assertFalse(f.may(1900.0))
+        self.told(f, 1950.0, ended=["other", "taken", 1], leased=False)
+        self.assertIs(f.stage, Stage.ARMED)
+
+    def test_its_end_frees_it_with_the_new_version_or_the_old(self) -> None:
+        for end, version, policy in [("taken", 1, b"new"), ("refused", 0, b"")]:
+            f = self.start()
+            self.arm(f, 1000.0)
+            self.told(f, 2000.0, version=version, ended=["c", end, version])
+            self.assertEqual(f.ends, {"c": (end, version)})
+            self.assertEqual((f.version, f.policy, f.stage), (version, policy, Stage.NONE))
+            self.assertTrue(f.may(1e9))
+
+    def test_a_newer_version_stops_it_until_the_text_is_there(self) -> None:
+        f = self.start()
+        self.told(f, 100.0, version=2)  # it was taken for gone, and is not
+        self.assertFalse(f.may(100.0))
+        f.hear("v", ["text", "", 2, b"two"], 120.0)
+        self.assertTrue(f.may(120.0))
+
+    def test_what_it_cannot_decide_by_it_refuses_and_is_never_armed(self) -> None:
+        f = self.start(check="methods.m: none")
+        self.told(f, 100.0, change="c", want="check")
+        f.hear("v", ["text", "c", 0, b"new"], 101.0)
+        self.assertIs(f.stage, Stage.REFUSED)
+        self.told(f, 200.0, change="c", want="arm")
+        self.assertIs(f.stage, Stage.REFUSED)
+
+    def test_nonsense_changes_nothing(self) -> None:
+        f = self.start()
+        for body in (
+            [], ["told"], ["told", 1, 1, 1], ["told", 99, True, 9, "", "", [], True], [3], ["text", 1, 2, 3],
+            ["told", 2, True, 9, "", "", ["x"], True], ["ask", "x", 1], ["no", 99, "why"],
+        ):  # fmt: skip
+            f.hear("v", body, 50.0)
+        self.assertEqual((f.version, f.newest, f.joined), (0, 0, True))
+
+
+class Histories(unittest.TestCase):
+    def test_drawn_faults(self) -> None:
+        row = histories(0, 40, "")
+        self.assertEqual(row.broken, [])
+        self.assertGreater(row.figures["taken"], 40)
+
+    def test_rows(self) -> None:
+        for name in VIRTUAL:
+            with self.subTest(name=name):
+                row = virtual(name, 4, 1, "")
+                self.assertEqual(row.broken, [], row.figures)
+
+    def test_each_defence_is_missed(self) -> None:
+        """The same histories with one part of the rules taken away: a promise must be seen to break."""
+        for away, row, promise in [
+            ("lease", "", "all_or_none"),
+            ("ask", "", "no_way_back"),
+            ("arm", "", "all_or_none"),
+            ("sure", "leader_wakes", "all_or_none"),
+            ("votes", "forgets", "one_"),
+        ]:
+            with self.subTest(away=away):
+                found = virtual(row, 20, 1, away) if row else histories(0, 30, away)
+                self.assertTrue(any(promise in text for text in found.broken), found.broken[:5])
+
+
+class Promises(unittest.TestCase):
+    """The checker itself: each of these must be seen."""
+
+    def test_tables(self) -> None:
+        for history, promise in [
+            ([(0, "decided", "a", 1, b"x"), (1, "decided", "b", 1, b"y")], "one_order"),
+            ([(0, "decided", "a", 2, b"x"), (1, "end", "a", "c", "taken", 1)], "one_order"),
+            ([(0, "decided", "a", 1, b"x"), (1500, "decided", "b", 0, b"")], "all_or_none"),
+            ([(0, "decided", "a", 1, b"x"), (9, "decided", "a", 0, b"")], "no_way_back"),
+            ([(0, "end", "a", "c", "taken", 1), (9, "end", "b", "c", "withdrawn", 0)], "one_answer"),
+        ]:
+            with self.subTest(history=history):
+                self.assertTrue(any(promise in text for text in broken(history, 1000.0)))
+        good = [(0, "decided", "a", 0, b""), (5, "decided", "a", 1, b"x"), (900, "decided", "b", 0, b""),
+                (950, "decided", "b", 1, b"x"), (960, "end", "b", "c", "taken", 1)]  # fmt: skip
+        self.assertEqual(broken(good, 1000.0), [])
