A listener that can't have its address closes its socket

Cause: bind raised and left the descriptor to the collector; the rig, which tries ports, showed it as a warning. Change: closed before the error goes on.

--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -223,8 +223,12 @@
         if sock is None:
             sock = socket.socket()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(address)
-            sock.listen(BACKLOG)
+            try:
+                sock.bind(address)
+                sock.listen(BACKLOG)
+            except OSError:
+                sock.close()
+                raise
         self.sock = sock
         self.sock.setblocking(False)
         self.address: Address = self.sock.getsockname()
