Cold start, laboratory: the virtual store works all the time and not look by look

Cause: the virtual store worked off its queue once in 100 ms (rise.py, Store.look), so that calls that came evenly seemed to wait for each other; strain over 1 halved shares and places, strain of 0.5 to 1 kept them there. Change: the queue is worked off by the time since the last call.

--- a/landingshift/lab/rise.py
+++ b/landingshift/lab/rise.py
@@ -121,7 +121,7 @@
         self.owed = min(1.0 + most * dt / 1000.0, self.owed + most * dt / 1000.0)
         while self.owed >= 1.0:
             self.owed -= 1.0
-            good, took = self.rise.store.call()
+            good, took = self.rise.store.call(self.rise.world.now)
             self.strain.called(now, good, took)
             self.filled += good
 
@@ -133,11 +133,13 @@
     bears: float
     base: float = 20.0  # ms of a call
     waiting: float = 0.0
+    at: float = 0.0  # when that was so, ms
     fell: bool = False
     in_look: int = 0
     made: list[int] = field(default_factory=list)  # calls by look
 
-    def call(self) -> tuple[bool, float]:
+    def call(self, now: float) -> tuple[bool, float]:
+        self.work(now)
         self.in_look += 1
         self.waiting += 1.0
         took = self.base + self.waiting * 1000.0 / self.rate()
@@ -146,8 +148,13 @@
     def rate(self) -> float:
         return self.bears / 3.0 if self.fell else self.bears
 
-    def look(self, dt: float) -> None:
-        self.waiting = max(0.0, self.waiting - self.rate() * dt / 1000.0)
+    def work(self, now: float) -> None:
+        """All the time, not look by look: else calls that come evenly would seem to crowd each other."""
+        self.waiting = max(0.0, self.waiting - self.rate() * (now - self.at) / 1000.0)
+        self.at = now
+
+    def look(self, now: float) -> None:
+        self.work(now)
         if self.waiting > 2.0 * self.bears:
             self.fell = True
         elif self.waiting < 0.05 * self.bears:
@@ -214,7 +221,7 @@
         self.world.after(20.0, answer)
 
     def look(self) -> None:
-        self.store.look(LOOK)
+        self.store.look(self.world.now)
         shares = places = warm = 0.0
         for i, mind in self.minds.items():
             now = self.hosts[i].clock()
