Policies: voters replaced one at a time, every order of a small model, an operator's last word

Need: a voter gone for good is replaced, a promise holds in every order and not only in drawn ones, and a fleet whose voters are gone can be told what is in force. Change: the newest voters of the log count, one added or removed at a time by a sure leader; search.py goes through all orders of messages, losses, doubles, passing time and a death from where the last member is armed; trust. A word that one is gone names the run that is meant: drawn histories showed it removing a machine that was back.

--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -75,7 +75,7 @@
 )
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
-@click.option("--break", "broken", type=click.Choice(["lease", "ask", "sure", "arm", "votes"]))
+@click.option("--break", "broken", type=click.Choice(["lease", "ask", "sure", "arm", "disk"]))
 @click.option("--only", help="One case by its name.")
 def policy(
     repeats: int,
--- a/landingshift/cli/policy.py
+++ b/landingshift/cli/policy.py
@@ -34,11 +34,9 @@
 
 
 def voter(at: str | None, toml: str | None) -> tuple[str, int]:
-    """A server that keeps the book: the leader that this one knows, or itself."""
+    """A server that keeps the book: the leader that this one knows, else itself."""
     found = asked(at, toml, "policy_status")
-    if found.get("voter") or not found["leader_at"]:
-        return server(at, toml)
-    return address("leader", found["leader_at"])
+    return address("leader", found["leader_at"]) if found["leader_at"] else server(at, toml)
 
 
 def from_voter(at: str | None, toml: str | None, call: str, params: list[Any]) -> Any:
@@ -143,6 +141,43 @@
     bring(at, toml, f"gone {name} {secrets.token_hex(4)}", ["gone", name], wait, as_json)
 
 
+@group.command()
+@where
+@click.option("--like", required=True, help="IPv4 address:port of a server that decides.")
+def trust(at: str | None, toml: str | None, as_json: bool, like: str) -> None:
+    """Your word that what the server at --like decides by is in force: no leader is left to say so."""
+    to = server(like, None)
+    try:
+        found = ask(to, "policy_status", [])
+        if not found["decides"]:
+            raise Told(f"{like}: it does not decide itself: {found['why_not']}")
+        policy = ask(to, "policy_text", [found["version"]])
+    except NoAnswer as err:
+        raise Told(f"{like}: {err}") from err
+    asked(at, toml, "policy_trust", [found["version"], policy])
+    if as_json:
+        say({"version": found["version"]})
+    else:
+        click.echo(f"it decides by version {found['version']} now")
+
+
+@group.command()
+@where
+@click.option("--add", default="", help="A server that has a journal.")
+@click.option("--remove", default="", help="One that is gone for good; add another first.")
+@WAIT
+def voters(at: str | None, toml: str | None, as_json: bool, add: str, remove: str, wait: float) -> None:
+    """Who agrees; one at a time is added or removed."""
+    if not add and not remove:
+        found = asked(at, toml, "policy_status")
+        show({"voters": ", ".join(found["voters"]), "leader": found["leader"]}, as_json)
+    elif add and remove:
+        raise Told("one of --add and --remove at a time")
+    else:
+        what = ["voters", "add" if add else "remove", add or remove]
+        bring(at, toml, f"voters {add or remove} {secrets.token_hex(4)}", what, wait, as_json)
+
+
 @group.command()
 @click.argument("id_", metavar="ID", required=False)
 @where
--- a/landingshift/lab/assent.py
+++ b/landingshift/lab/assent.py
@@ -3,7 +3,7 @@
 The same objects as on a server's loop; what they decide by is written into a history for `promises`.
 `away` takes one defence: "lease" (armed servers go on without one), "ask" (a server decides before it has
 asked), "sure" (a leader speaks without knowing that it leads), "arm" (a change is taken without waiting for
-all), "votes" (promises are not on disk).
+all), "disk" (what a voter answers for is not on its disk).
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 LOOK = 25.0  # ms between two decisions of one server, about
 TIMES = Times(beat=100.0, wait=500.0)
-AWAY = ("lease", "ask", "sure", "arm", "votes")
+AWAY = ("lease", "ask", "sure", "arm", "disk")
 
 
 def address(name: str) -> Address:
@@ -39,7 +39,7 @@
     def __init__(self, hall: Hall, name: str, now: float) -> None:
         self.hall, self.name = hall, name
         self.run = hall.chance.getrandbits(32)
-        stored = copy.deepcopy(hall.disks[name]) if name in hall.plan.voters else None
+        stored = copy.deepcopy(hall.disks[name]) if name in hall.disks else None
         check = hall.refusing.get(name, lambda policy: "")
         self.part = Part(
             name, self.run, hall.plan, check, stored, hall.chance, now, lambda: hall.world.now, TIMES
@@ -108,7 +108,7 @@
         self.plan = Plan(
             tuple(self.names[:voters]), aside, **{"lease": 900.0, "spare": 100.0, "wait": 6000.0} | plan
         )
-        self.disks = {name: Stored() for name in self.plan.voters}
+        self.disks = {name: Stored() for name in self.names[: voters + 1]}  # one more could be a voter
         self.refusing: dict[str, Any] = {}
         self.hosts: dict[str, Host] = {}
         self.minds: dict[str, Mind] = {}
@@ -148,8 +148,8 @@
         assert stored is not None
         had = self.disks[name]
         self.disks[name] = copy.deepcopy(stored)
-        if self.away == "votes":
-            self.disks[name].term, self.disks[name].vote = had.term, had.vote
+        if self.away == "disk":
+            self.disks[name] = had
 
     def kill(self, name: str) -> None:
         self.world.kill(address(name))
@@ -164,6 +164,18 @@
         self.hosts[name].turn()
         return id
 
+    def gone(self, name: str, who: str) -> None:
+        """An operator's word to `name` that the run of `who` that was there last has ended."""
+        self.minds[name].part.ask_for(
+            f"gone {who}", ["gone", who, self.minds[who].run], self.hosts[name].clock()
+        )
+        self.hosts[name].turn()
+
+    def replace(self, name: str, how: str, who: str) -> None:
+        """Has a voter added or removed; asked of `name`."""
+        self.minds[name].part.ask_for(f"{how} {who}", ["voters", how, who], self.hosts[name].clock())
+        self.hosts[name].turn()
+
     def ask(self, name: str, id: str) -> None:
         part = self.minds[name].part
         part.ask_for(id, ["find"], self.hosts[name].clock())
@@ -209,7 +221,7 @@
     chance, world = hall.chance, hall.world
     name = chance.choice(hall.names)
     up = [n for n in hall.names if n not in hall.down]
-    match chance.randrange(11):
+    match chance.randrange(12):
         case 0 | 1 if len(up) > 1 and name in up:
             hall.kill(name)
             return "kill"
@@ -237,6 +249,10 @@
         case 10:
             hall.crash = chance.choice((0.0, 0.01, 0.05))
             return "disk"
+        case 11 if up:
+            voter = chance.choice(sorted(hall.disks))
+            hall.replace(chance.choice(up), chance.choice(("add", "remove")), voter)
+            return "voters"
     return ""
 
 
--- a/landingshift/lab/policy.py
+++ b/landingshift/lab/policy.py
@@ -14,6 +14,7 @@
 from landingshift.lab.assent import Hall, address, play
 from landingshift.lab.promises import broken
 from landingshift.lab.rows import Row, must
+from landingshift.lab.search import Search
 from landingshift.policies.agreement import Role
 from landingshift.policies.part import ENDED
 
@@ -191,6 +192,54 @@
     return hall
 
 
+def gone_late(row: Row, seed: int, away: str) -> Hall:
+    """An operator's word that one has ended reaches the leader only once that machine is back."""
+    hall = Hall(seed, 5, 3, away=away)
+    hall.run(2500.0)
+    for name in ("n0", "n1", "n4"):
+        hall.kill(name)
+    hall.gone("n2", "n4")  # nobody leads: it waits
+    hall.run(1000.0)
+    for name in ("n4", "n0", "n1"):
+        hall.start(name)
+    hall.run(4000.0)
+    cut = address("n4")
+    hall.world.cut = lambda a, b: cut in (a, b)
+    id = hall.propose("n3", 1)
+    hall.run(3000.0)
+    must(row, hall.end("n3", id) not in ENDED, "it did not wait for one that is there")
+    hall.settle()
+    return hall
+
+
+def voters_replaced(row: Row, seed: int, away: str) -> Hall:
+    """One of three is gone for good: another is added, the dead one removed, and a second may die then."""
+    hall = Hall(seed, 6, 3, away=away)
+    hall.run(2500.0)
+    first = hall.propose("n5", 1)
+    hall.run(800.0)
+    hall.kill("n0")
+    hall.run(2000.0)
+    hall.replace("n4", "add", "n3")
+    hall.run(4000.0)
+    hall.replace("n4", "remove", "n0")
+    hall.run(2000.0)
+    voters = hall.minds["n3"].part.voter
+    assert voters is not None
+    must(row, set(voters.voters) == {"n1", "n2", "n3"}, f"voters are {voters.voters}")
+    hall.kill("n1")
+    hall.run(3000.0)
+    for name in ("n0", "n1"):
+        hall.gone("n2", name)
+    hall.run(1000.0)
+    second = hall.propose("n5", 2)
+    hall.run(1500.0)
+    taken(row, hall, first)
+    taken(row, hall, second)
+    hall.settle()
+    return hall
+
+
 VIRTUAL: dict[str, Callable[[Row, int, str], Hall]] = {
     "without_faults": without_faults,
     "with_loss": with_loss,
@@ -200,10 +249,23 @@
     "both_sides": both_sides,
     "refused": refused,
     "forgets": forgets,
+    "gone_late": gone_late,
+    "voters_replaced": voters_replaced,
 }
 LARGE = ("without_faults", "with_loss", "tenth_down")  # 200 servers each
 
 
+def searched(depth: int, most: int, away: str) -> Row:
+    """Every order of a small model, in both ways of being cut off."""
+    row = Row("search", figures={"depth": depth})
+    for aside in (False, True):
+        found = Search(aside, away).run(depth, most)
+        row.runs += found.states
+        row.figures["depth"] = min(row.figures["depth"], found.deepest)
+        must(row, not found.broken, f"all_or_none: {found.broken}")
+    return row
+
+
 def top(row: Row, name: str, value: float) -> None:
     row.figures[name] = max(row.figures.get(name, 0.0), round(value, 2))
 
@@ -260,6 +322,8 @@
     repeats: int, seed: int, servers: int, away: str = "", only: str | None = None, count: int = 200
 ) -> Iterator[Row]:
     """`repeats` of each virtual row, `count` histories; `servers`: also the rows of real processes."""
+    if only in (None, "search"):
+        yield searched(12, 100 * count, away)
     if only in (None, "histories"):
         yield many(count, seed, away)
     for name in VIRTUAL:
--- a/landingshift/lab/policy_real.py
+++ b/landingshift/lab/policy_real.py
@@ -53,7 +53,7 @@
         place = "{}:{}".format
         ports = [port.address for port in rig.switch.ports.values()]
         peers = ", ".join(f'"{place(*p)}"' for p in ports[:4])
-        journal = f'journal = "{self.journal(i)}"' if rig.name(i) in self.voters else ""
+        journal = f'journal = "{self.journal(i)}"' if i <= len(self.voters) else ""  # one spare
         return f"""
 [fleet]
 fleet = "lab"
@@ -405,6 +405,38 @@
         status = c.status(i)
         must(row, bool(status.get("decides")) and status["version"] == 1, f"n{i}: {status}")
     must(row, c.rig.ends["ok"] > ok + 100, "RPCs were not answered on")
+    for i in c.up():
+        must(row, c.end(i, "c0")["end"] == "taken", f"n{i} does not know the end")
+    c.ids.clear()  # the one that comes now can't be told any more
+    last = c.count - 1
+    c.rig.doomed.add(c.rig.name(last))
+    c.rig.kill(last)
+    c.start(last)
+    time.sleep(2.0)
+    must(row, c.status(last).get("decides") is False, "it decides before it has asked")
+    c.call(last, "policy_trust", 1, c.call(2, "policy_text", 1))
+    must(row, c.rig.until(2.0, lambda: bool(c.status(last).get("decides"))), "it does not take the word")
+
+
+def voters_replaced(c: Council, row: Row) -> None:
+    """One of three voters is gone for good: a spare is added, the dead one removed; then another dies."""
+    c.start_all()
+    c.taken(row, 4, c.propose(4, 1))
+    c.rig.kill(0)
+    c.leader()
+    for how, name in (("add", "n3"), ("remove", "n0")):
+        id = f"{how} {name}"
+        c.call(4, "policy_do", id, "voters", how, name)
+        good = c.rig.until(10.0, lambda id=id: c.call(4, "policy_known", id)["end"] == "taken")  # type: ignore[misc]
+        must(row, good, f"{id}: {c.call(4, 'policy_known', id)}")
+    c.gone(4, "n0")
+    c.rig.kill(1)
+    time.sleep(1.0)
+    c.start(1)
+    c.taken(row, 4, c.propose(4, 2), 20.0)
+    c.version(row, 2, 15.0)
+    voters = set(c.status(4)["voters"])
+    must(row, voters == {"n1", "n2", "n3"}, f"voters are {voters}")
 
 
 def cuts(c: Council, row: Row) -> None:
@@ -484,6 +516,7 @@
     must(row, Path(c.journal(other)).stat().st_size > len(old[other][0]) + 20, "it did not save again")
     # The journal of last week beside the seal of today, and damage in the middle.
     for i, damage in ((other, "old"), (third, "torn")):
+        rig.doomed.add(rig.name(i))
         rig.kill(i)
         path = Path(c.journal(i))
         good = path.read_bytes()
@@ -574,6 +607,7 @@
     "real_leader_cut_and_paused": case(leader_cut_and_paused, "stand_aside"),
     "real_majority_gone": case(majority_gone),
     "real_majority_gone_for_good": case(majority_gone_for_good),
+    "real_voters_replaced": case(voters_replaced),
     "real_cuts": case(cuts),
     "real_cuts_leased": case(cuts, "stand_aside"),
     "real_at_one_instant": case(at_one_instant),
--- a/landingshift/lab/rig.py
+++ b/landingshift/lab/rig.py
@@ -178,6 +178,7 @@
 
     def kill(self, i: int) -> None:
         self.killed.add(self.name(i))
+        self.doomed.add(self.name(i))  # its callers may find out only once it is back
         self.processes[i].kill()
         self.processes[i].wait()
 
--- /dev/null
+++ b/landingshift/lab/search.py
@@ -0,0 +1,236 @@
+"""Every order of a small model: three servers, one change; each message may come next, be lost or come twice,
+time may pass, a member or the leader may die and come back. The decisions are those of the server itself.
+
+It starts where all are armed but for one, and goes to a stated depth. What is checked is stronger than any
+history: that nobody *could* decide by an old version too late.
+"""
+
+from __future__ import annotations
+
+import copy
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any
+
+from landingshift.lab.assent import text
+from landingshift.policies.agreement import Stored, Times
+from landingshift.policies.follower import Plan, Stage
+from landingshift.policies.part import Part
+
+NAMES = ("n0", "n1", "n2")
+PASS = 500.0  # ms
+FLIGHT = 4  # messages under way at a time
+TIMES = Times(beat=1e9, wait=1e9)  # one voter: nobody else can lead
+
+
+class Even(Random):
+    """No chance at all, so that equal states are seen to be equal."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return a
+
+    def random(self) -> float:
+        return 0.0
+
+    def __deepcopy__(self, _memo: Any) -> Even:
+        return self
+
+
+@dataclass
+class Spent:
+    """How often each fault may still come."""
+
+    losses: int = 1
+    doubles: int = 1
+    passes: int = 3
+    kills: int = 1
+    asks: int = 2
+
+
+@dataclass
+class State:
+    parts: dict[str, Part]
+    disk: Stored
+    now: float = 10_000.0
+    way: list[tuple[str, str, list[Any]]] = field(default_factory=list)
+    spent: Spent = field(default_factory=Spent)
+    first: dict[int, float] = field(default_factory=dict)  # when a version could first be decided by
+
+    def key(self) -> Any:
+        now = self.now
+        seen: list[Any] = []
+        for part in self.parts.values():
+            f, desk = part.follower, part.desk
+            seen.append((
+                part.run, f.joined, f.version, f.newest, f.change, f.stage, max(0.0, f.until - now),
+                f.accepted, f.number, tuple(now - at for at in f.sent.values()),
+            ))  # fmt: skip
+            if desk is not None:
+                acks = [(n, a.run, a.change, a.stage, a.version) for n, a in sorted(desk.acks.items())]
+                seen.append((tuple(acks), desk.want, desk.switching, part.book.version, part.book.open))
+        way = tuple(sorted(repr(m) for m in self.way))
+        since = tuple(sorted((v, now - at) for v, at in self.first.items()))
+        return (tuple(seen), way, since, repr(self.spent))
+
+
+class Search:
+    """`away`: "lease" or "ask", as in `assent`."""
+
+    def __init__(self, aside: bool = False, away: str = "") -> None:
+        self.plan = Plan(("n0",), aside, overlap=1000.0, lease=900.0, spare=100.0, wait=1e9)
+        self.away, self.chance = away, Even()
+        self.states = self.deepest = 0
+        self.broken = ""
+
+    def part(self, name: str, run: int, stored: Stored | None, now: float) -> Part:
+        return Part(name, run, self.plan, lambda _: "", stored, self.chance, now, lambda: 0.0, TIMES)
+
+    def begin(self) -> State:
+        state = State({}, Stored())
+        state.spent = Spent(0, 0, 0, 0, 0)
+        for i, name in enumerate(NAMES):
+            state.parts[name] = self.part(name, i, Stored() if i == 0 else None, state.now)
+        lead = state.parts["n0"]
+        assert lead.voter is not None and lead.desk is not None
+        lead.voter.ask(False)
+        for _ in range(4):
+            self.round(state, NAMES)
+        state.parts["n0"].ask_for("c", ["propose", text(1), "lab", "a trial"], state.now)
+        state.parts["n0"].carry("c", state.now)
+        self.out(state, "n0")
+        while state.parts["n0"].desk.want != "arm":  # type: ignore[union-attr]
+            self.round(state, NAMES)
+        self.round(state, ("n0", "n1"))
+        self.round(state, ("n0", "n1"))
+        self.round(state, ("n2",))
+        assert all(part.follower.stage is Stage.ARMED for part in state.parts.values())
+        state.parts["n2"].follower.ask(state.now)
+        self.out(state, "n2")  # the last word that the leader waits for is under way
+        for part in state.parts.values():
+            part.follower.sent = {n: at for n, at in part.follower.sent.items() if n > part.follower.accepted}
+        state.spent = Spent()
+        return state
+
+    def round(self, state: State, names: tuple[str, ...]) -> None:
+        for name in names:
+            state.parts[name].follower.ask(state.now)
+            self.out(state, name)
+        self.drain(state)
+
+    def drain(self, state: State) -> None:
+        while state.way:
+            self.deliver(state, 0)
+
+    # Steps
+
+    def out(self, state: State, name: str) -> None:
+        part = state.parts[name]
+        for _ in range(4):
+            stored = part.unsaved()
+            if stored is not None:
+                state.disk = copy.deepcopy(stored)
+                part.saved(state.now)
+            if part.desk is not None:
+                part.desk.step(state.now)
+            part.deliver(state.now)
+            for to, body in part.take_out():
+                if (
+                    body[0] != "look" and len(state.way) < FLIGHT
+                ):  # looks only make others ask, which all may do
+                    state.way.append((name, to, body))
+            if part.unsaved() is None:
+                break
+
+    def deliver(self, state: State, at: int) -> None:
+        sender, to, body = state.way.pop(at)
+        state.parts[to] = copy.deepcopy(state.parts[to])
+        state.parts[to].hear(sender, body, state.now)
+        self.out(state, to)
+
+    def steps(self, state: State) -> list[tuple[str, Any]]:
+        found: list[tuple[str, Any]] = [("deliver", i) for i in range(len(state.way))]
+        spent = state.spent
+        if spent.losses:
+            found += [("lose", i) for i in range(len(state.way))]
+        if spent.doubles and len(state.way) < FLIGHT:
+            found += [("double", i) for i in range(len(state.way))]
+        if spent.passes:
+            found.append(("pass", 0))
+        if spent.asks and len(state.way) < FLIGHT:
+            found += [("ask", name) for name in NAMES]
+        if spent.kills:
+            found += [("kill", name) for name in NAMES]
+        return found
+
+    def take(self, old: State, step: tuple[str, Any]) -> State:
+        """The state after a step; the old one stays as it is."""
+        state = State(dict(old.parts), old.disk, old.now, list(old.way), replace(old.spent), dict(old.first))
+        what, arg = step
+        spent = state.spent
+        match what:
+            case "deliver":
+                self.deliver(state, arg)
+            case "lose":
+                spent.losses -= 1
+                state.way.pop(arg)
+            case "double":
+                spent.doubles -= 1
+                state.way.append(state.way[arg])
+            case "pass":
+                spent.passes -= 1
+                state.now += PASS
+            case "ask":
+                spent.asks -= 1
+                state.parts[arg] = copy.deepcopy(state.parts[arg])
+                state.parts[arg].follower.ask(state.now)
+                self.out(state, arg)
+            case "kill":
+                spent.kills -= 1
+                stored = copy.deepcopy(state.disk) if arg == "n0" else None
+                part = state.parts[arg] = self.part(arg, 9, stored, state.now)
+                if part.voter is not None:
+                    part.voter.ask(False)
+                    self.out(state, arg)
+        return state
+
+    def check(self, state: State) -> str:
+        now = state.now
+        for part in state.parts.values():
+            f = part.follower
+            may = f.may(now)
+            if self.away == "lease":
+                may = f.joined and f.newest <= f.version
+            elif self.away == "ask":
+                may = may or not f.joined
+            if not may:
+                continue
+            version = max(0, f.version)
+            state.first.setdefault(version, now)
+            newer = [at for v, at in state.first.items() if v > version]
+            if newer and now - min(newer) > self.plan.overlap:
+                return f"{part.name} may decide by {version} {now - min(newer):.0f} ms after a newer one"
+        return ""
+
+    def run(self, depth: int, most: int = 10_000_000) -> Search:
+        """All states up to `depth` steps from the start, each once; ends at the first broken promise."""
+        begin = self.begin()
+        seen, edge = {begin.key()}, [(begin, ())]
+        for self.deepest in range(1, depth + 1):
+            new: list[tuple[State, Any]] = []
+            for state, way in edge:
+                for step in self.steps(state):
+                    state_after = self.take(state, step)
+                    why = self.check(state_after)
+                    key = state_after.key()
+                    if key in seen:
+                        continue
+                    seen.add(key)
+                    self.states = len(seen)
+                    if why:
+                        self.broken = f"{why}, by {[*way, step]}"
+                        return self
+                    new.append((state_after, (*way, step)))
+                    if self.states >= most:
+                        return self
+            edge = new
+        return self
--- a/landingshift/policies/agreement.py
+++ b/landingshift/policies/agreement.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import Annotated
 
+import msgspec
 from msgspec import Meta, Struct
 
 BATCH = 16  # entries in a message
@@ -21,6 +22,9 @@
 ROUNDS = 64  # beats whose times a leader keeps
 SURE = 0.9  # share of `wait` for which a leader may count on the promise of those who heard it
 
+MOST = 9  # voters, while one is replaced
+VOTERS = b"\xc1"  # an entry that begins so names the voters from then on; no other data does, being msgpack
+
 Index = Annotated[int, Meta(ge=0, le=2**53)]
 
 
@@ -46,6 +50,7 @@
     base_term: int = 0
     state: bytes = b""
     entries: list[Entry] = field(default_factory=list)
+    voters: tuple[str, ...] = ()  # as of `base`; empty: those of the settings
 
 
 class Ask(Struct, array_like=True, frozen=True, forbid_unknown_fields=True, tag="a"):
@@ -91,6 +96,7 @@
     base_term: Index
     state: bytes
     round: Index
+    voters: Annotated[tuple[str, ...], Meta(max_length=MOST)] = ()
 
 
 Message = Ask | Vote | Append | Appended | Install
@@ -105,14 +111,18 @@
 
 
 class Voter:
-    """`voters` are all names, this one's included: 3, 5 or 7."""
+    """`voters` are all names until the log names others; one that is not among them only follows.
+
+    Voters change one at a time: the newest set in the log counts from then on, taken or not, and majorities
+    of two sets that differ by one name always share a voter.
+    """
 
     def __init__(
         self, name: str, voters: tuple[str, ...], stored: Stored, times: Times, chance: Random, now: float
     ) -> None:
-        self.name, self.voters, self.times, self.chance = name, voters, times, chance
-        self.others = tuple(v for v in voters if v != name)
+        self.name, self.first, self.times, self.chance = name, voters, times, chance
         self.stored = stored
+        self.known: set[str] = set(voters)  # who may be heard, also before the log names them
         self.role = Role.FOLLOWER
         self.leader = ""
         self.commit = stored.base
@@ -129,6 +139,42 @@
         self.now = self.leader_at = now
         self.due = 0.0
         self.patience()
+        self.know()
+
+    # Who votes
+
+    def know(self) -> None:
+        """The newest voters of the log; called whenever such an entry comes or goes."""
+        self.named, self.voters = 0, self.stored.voters or self.first
+        for index in range(self.last, self.stored.base, -1):
+            found = self.names(index)
+            if found:
+                self.named, self.voters = index, found
+                break
+        self.others = tuple(v for v in self.voters if v != self.name)
+        for other in self.others if self.role is Role.LEADER else ():
+            self.next.setdefault(other, self.last + 1)
+            self.match.setdefault(other, 0)
+            self.heard.setdefault(other, self.now)
+
+    def names(self, index: int) -> tuple[str, ...]:
+        data = self.stored.entries[index - self.stored.base - 1].data
+        if not data.startswith(VOTERS):
+            return ()
+        return tuple(msgspec.msgpack.decode(data[len(VOTERS) :], type=list[str]))
+
+    @property
+    def votes_too(self) -> bool:
+        return self.name in self.voters
+
+    def replace(self, voters: tuple[str, ...], now: float) -> int | None:
+        """The entry's index; None where it can't be just now: one at a time, by one that leads for sure."""
+        one = len(set(voters) ^ set(self.voters)) == 1 and 1 <= len(voters) <= MOST
+        if not one or self.named > self.commit or not self.sure(now):
+            return None
+        index = self.propose(VOTERS + msgspec.msgpack.encode(list(voters)))
+        self.know()
+        return index
 
     # The log
 
@@ -154,6 +200,8 @@
             term = self.term_at(index)
             assert term is not None
             s = self.stored
+            named = [found for i in range(s.base + 1, index + 1) if (found := self.names(i))]
+            s.voters = named[-1] if named else s.voters
             s.entries = s.entries[index - s.base :]
             s.base, s.base_term, s.state = index, term, state
             self.changed = True
@@ -190,14 +238,16 @@
         if now < self.due:
             return
         if self.role is Role.LEADER:
-            here = sum(now - self.heard[other] < self.times.wait for other in self.others) + 1
+            here = sum(now - self.heard[other] < self.times.wait for other in self.others) + self.votes_too
             if not self.most(here):
                 self.follow(self.stored.term, "")  # it may be cut off: whoever asks must not rely on it
                 return
             self.due = now + self.times.beat
             self.beat()
-        else:
+        elif self.votes_too:
             self.ask(True)
+        else:
+            self.patience()
 
     def sure(self, now: float) -> bool:
         """Whether this leads, knows all that was taken before, and nobody else can lead just now.
@@ -207,7 +257,8 @@
         """
         if self.role is not Role.LEADER or self.term_at(self.commit) != self.stored.term:
             return False
-        since = sorted([now, *(self.acked_at.get(other, -1e9) for other in self.others)], reverse=True)
+        own = now if self.votes_too else -1e9
+        since = sorted([own, *(self.acked_at.get(other, -1e9) for other in self.others)], reverse=True)
         return now < since[len(self.voters) // 2] + self.times.wait * SURE
 
     def most(self, count: int) -> bool:
@@ -230,7 +281,7 @@
         self.elected()
 
     def elected(self) -> None:
-        if not self.most(len(self.votes)):
+        if not self.most(len(self.votes & set(self.voters))):
             return
         if self.role is Role.ASKING:
             self.ask(False)
@@ -306,7 +357,7 @@
         s, before = self.stored, self.next[other] - 1
         term = self.term_at(before)
         if term is None:
-            self.send(other, Install(s.term, s.base, s.base_term, s.state, self.rounds))
+            self.send(other, Install(s.term, s.base, s.base_term, s.state, self.rounds, s.voters))
             return
         some = tuple(self.entries(before, before + BATCH))
         self.send(other, Append(s.term, before, term, some, self.commit, self.rounds))
@@ -330,9 +381,12 @@
             return
         for i, entry in enumerate(entries, before + 1):
             if self.term_at(i) != entry.term:
+                gone = self.last >= i
                 del s.entries[i - s.base - 1 :]
                 s.entries.append(entry)
                 self.changed = True
+                if gone or entry.data.startswith(VOTERS):
+                    self.know()
         match = before + len(entries)
         self.commit = max(self.commit, min(m.commit, match))
         self.send(who, Appended(s.term, True, match, m.round))
@@ -350,11 +404,12 @@
         if m.base > self.commit:
             s.entries = s.entries[m.base - s.base :] if self.term_at(m.base) == m.base_term else []
             s.base, s.base_term, s.state, self.changed = m.base, m.base_term, m.state, True
-            self.commit = m.base
+            s.voters, self.commit = m.voters, m.base
+            self.know()
         self.send(who, Appended(s.term, True, max(m.base, 0), m.round))
 
     def appended(self, who: str, m: Appended) -> None:
-        if self.role is not Role.LEADER or m.term != self.stored.term:
+        if self.role is not Role.LEADER or m.term != self.stored.term or who not in self.others:
             return
         self.heard[who] = self.now
         if m.round in self.round_at:
@@ -372,15 +427,18 @@
 
     def count(self) -> None:
         """Commits what a majority has on disk, if its last entry is of this term."""
-        places = sorted([self.synced, *self.match.values()], reverse=True)
+        own = self.synced if self.votes_too else 0
+        places = sorted([own, *(self.match[other] for other in self.others)], reverse=True)
         index = places[len(self.voters) // 2]
         if index > self.commit and self.term_at(index) == self.stored.term:
             self.commit = index
+            if not self.votes_too and self.named <= index:
+                self.follow(self.stored.term, "")  # it led its own leaving to the end
 
     # Hearing
 
     def hear(self, who: str, message: Message, now: float) -> None:
-        if who not in self.others:
+        if who == self.name or (who not in self.others and who not in self.known):
             return
         self.now = now
         term = message.term
--- a/landingshift/policies/desk.py
+++ b/landingshift/policies/desk.py
@@ -32,6 +32,7 @@
     stage: str
     said: str
     leased_at: float
+    spare: bool  # it has a journal, so that it could be a voter
 
 
 class Desk:
@@ -69,7 +70,7 @@
 
     def here(self, who: str, body: list[Any], now: float) -> None:
         match body:
-            case [int(run), int(number), int(version), str(change), str(stage), str(said), str(mark)]:
+            case [int(run), int(number), int(version), str(change), str(stage), str(said), mark, bool(spare)]:
                 pass
             case _:
                 return
@@ -93,7 +94,7 @@
         leased_at = had.leased_at if had is not None else -1e9
         # Nobody gets a lease for the old version once the switch may be agreed on.
         leased = joined and not self.switching
-        self.acks[who] = Ack(run, version, change, stage, said, now if leased else leased_at)
+        self.acks[who] = Ack(run, version, change, stage, said, now if leased else leased_at, spare)
         if had is None or (had.change, had.stage) != (change, stage):
             self.step_at = now
         ended: list[Any] = []
@@ -101,6 +102,7 @@
             found = book.found(change)
             ended = [change, found.end.value, found.version] if found is not None else []
         told = ["told", number, joined, book.version, book.open, self.want_of(), ended, leased]
+        told.append(list(self.voter.voters))
         self.out.append((who, told))
 
     def want_of(self) -> str:
@@ -125,12 +127,20 @@
             case ["withdraw", str(by), str(why)] if found is None or found.end is End.OPEN:
                 said = f"withdrawn by {by}: {why}"
                 self.propose(f"{id} withdrawn", command("end", id, End.WITHDRAWN.value, said, self.wall()))
-            case ["gone", str(name)]:
-                run = book.members.get(name)
-                if run is not None:
+            case ["voters", str(how), str(name)]:
+                why = self.voters(how, name, now)
+                end = "unknown" if why else End.TAKEN.value
+                said = why or f"voters are {', '.join(self.voter.voters)}"
+                self.out.append((who, ["found", id, end, 0, said, []]))
+                return
+            case ["gone", str(name), int(run)]:
+                # That run and no other: the word may come late, and the machine be back by then.
+                if book.members.get(name) == run:
                     self.propose(f"{name} {run} gone", command("gone", name, run))
                 else:
-                    self.out.append((who, ["found", id, End.TAKEN.value, 0, f"{name} is not counted", []]))
+                    self.out.append(
+                        (who, ["found", id, End.TAKEN.value, 0, f"that run of {name} is not counted", []])
+                    )
                 return
         if found is not None:
             waits = [list(w) for w in self.waits(now)] if id == book.open else []
@@ -147,6 +157,24 @@
             if index is not None:
                 self.asked[key] = index
 
+    def voters(self, how: str, name: str, now: float) -> str:
+        """Why the voters are not yet as wanted; empty once they are and all that is agreed on."""
+        voter, there = self.voter, name in self.voter.voters
+        if there is (how == "add"):
+            return "" if voter.named <= voter.commit else "it is being agreed on"
+        if how == "add":
+            ack = self.acks.get(name)
+            if ack is None or not ack.spare or self.book.members.get(name) != ack.run:
+                return f"{name} is not there with a journal"
+            new = (*voter.voters, name)
+        else:
+            new = tuple(v for v in voter.voters if v != name)
+            here = [v for v in new if v == voter.name or now - voter.heard.get(v, -1e9) < voter.times.wait]
+            if 2 * len(here) <= len(new):
+                return f"only {', '.join(here)} would be left of {', '.join(new)}"
+        voter.replace(new, now)
+        return "it is being agreed on"
+
     # How far a change is
 
     def lapsed(self, name: str, now: float) -> bool:
--- a/landingshift/policies/follower.py
+++ b/landingshift/policies/follower.py
@@ -24,6 +24,7 @@
 LOST = 2  # requests in a row without an answer after which another voter is asked
 ENDS = 64
 OUT = 16  # requests whose times are kept
+MOST = 9  # voters that it keeps
 SEEK = 250.0  # ms between two requests of one that is not counted yet
 REST = 2000.0  # between changes, where nothing hangs on it
 SOON = 20.0  # ms over which the answers to a look are spread
@@ -57,7 +58,7 @@
     @property
     def mark(self) -> str:
         """What must be alike wherever one asks and another answers."""
-        return f"{','.join(sorted(self.voters))} {self.aside} {self.overlap:g} {self.lease:g}"
+        return f"{'stand_aside' if self.aside else 'serve'} {self.overlap:g} {self.lease:g}"
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,6 +72,7 @@
     want: str
     ended: list[Any]
     leased: bool
+    voters: list[str]
 
 
 class Follower:
@@ -87,8 +89,10 @@
         self.change, self.text, self.stage, self.said = "", b"", Stage.NONE, ""
         self.until = now  # end of its lease
         self.ends: dict[str, tuple[str, int]] = {}  # how the last changes ended that it was asked about
+        self.voters = list(plan.voters)  # as the leader told them last
+        self.spare = False  # whether this one could be a voter: it has a journal
         self.leader, self.turn = "", chance.randrange(len(plan.voters))
-        self.number = self.accepted = self.silent = 0
+        self.number = self.accepted = self.silent = self.unheard = 0
         self.sent: dict[int, float] = {}
         self.ask_at, self.asked_at = now + SEEK * chance.random(), -1e9
 
@@ -122,16 +126,19 @@
 
     def ask(self, now: float) -> None:
         if self.silent >= LOST or not self.leader:
-            self.turn = (self.turn + 1) % len(self.plan.voters)
-            self.leader, self.silent = self.plan.voters[self.turn], 0
+            self.turn = (self.turn + 1) % len(self.voters)
+            self.leader, self.silent = self.voters[self.turn], 0
         self.number += 1
         self.silent += 1
         self.sent[self.number] = self.asked_at = now
         self.sent.pop(self.number - OUT, None)
-        self.ask_at = now + self.pause() * self.chance.uniform(0.8, 1.2)
+        # No answer within a moment is asked for again, ever more slowly: the leader may be gone for good.
+        again = SEEK * 2.0 ** min(self.unheard, 3)
+        self.ask_at = now + min(again, self.pause()) * self.chance.uniform(0.8, 1.2)
+        self.unheard += 1
         self.out.append((self.leader, [
             "here", self.run, self.number, self.version, self.change, str(self.stage), self.said,
-            self.plan.mark,
+            self.plan.mark, self.spare,
         ]))  # fmt: skip
 
     def look(self, now: float) -> None:
@@ -150,24 +157,37 @@
             case ["ask", int(number), str(leader)] if number in self.sent:
                 self.turned(leader, number, now)
             case ["no", int(number), str(why)] if number in self.sent:
-                self.silent, self.refused, self.joined = 0, why[:200], False
-            case ["told", int(number), bool(), int(), str(), str(), [] | [str(), str(), int()], bool()]:
+                self.silent, self.unheard, self.refused, self.joined = 0, 0, why[:200], False
+                self.ask_at = now + REST
+            case [
+                "told",
+                int(number),
+                bool(),
+                int(),
+                str(),
+                str(),
+                [] | [str(), str(), int()],
+                bool(),
+                [str(), *_],
+            ]:
                 if number in self.sent and number > self.accepted:
-                    self.accepted, self.silent, self.leader = number, 0, who
+                    self.accepted, self.silent, self.unheard, self.leader = number, 0, 0, who
+                    self.ask_at = now + REST
                     self.told(Told(*body[1:]), now)
+                    self.sooner(now + self.pause() * self.chance.uniform(0.8, 1.2))
             case ["text", str(change), int(version), bytes(policy)]:
                 self.got(change, version, policy, now)
 
     def turned(self, leader: str, number: int, now: float) -> None:
         """To another voter, which leads; "" where it knows none."""
-        if leader != self.leader and leader in self.plan.voters:
+        if leader and leader != self.leader:
             self.leader, self.silent = leader, 0
             self.sooner(max(now, self.asked_at + HERE))
         elif not leader:
             self.leader = ""
 
     def told(self, m: Told, now: float) -> None:
-        self.joined, self.refused = m.joined, ""
+        self.joined, self.refused, self.voters = m.joined, "", [str(name) for name in m.voters[:MOST]]
         self.newest = max(self.newest, m.version)
         if m.ended and m.ended[0] == self.change:
             id, end, version = m.ended
@@ -200,5 +220,17 @@
             self.adopt(version, policy)
             self.sooner(max(now, self.asked_at + HERE))
 
+    def trust(self, version: int, policy: bytes) -> str:
+        """An operator's word for what is in force, where no leader will ever say it; "" or why not."""
+        if self.plan.aside:
+            return "it stands aside without a leader: when_cut_off is stand_aside"
+        if self.joined or version < self.version:
+            return f"it has version {self.version} from a leader"
+        said = self.check(policy) if policy else ""
+        if not said:
+            self.joined, self.newest = True, version
+            self.adopt(version, policy)
+        return said
+
     def adopt(self, version: int, policy: bytes) -> None:
         self.version, self.policy = version, policy
--- a/landingshift/policies/journal.py
+++ b/landingshift/policies/journal.py
@@ -144,7 +144,7 @@
         if (s.term, s.vote) != (term, vote):
             records.append([Kind.PROMISE, s.term, s.vote])
         if s.base != base:
-            records.append([Kind.SNAPSHOT, s.base, s.base_term, s.state])
+            records.append([Kind.SNAPSHOT, s.base, s.base_term, s.state, list(s.voters)])
             had = had[s.base - base :] if s.base > base else []
         same = 0
         while same < min(len(had), len(s.entries)) and had[same] == s.entries[same]:
@@ -167,7 +167,7 @@
         beside = self.path + ".new"
         records: list[list[Any]] = [
             [Kind.PROMISE, s.term, s.vote],
-            [Kind.SNAPSHOT, s.base, s.base_term, s.state],
+            [Kind.SNAPSHOT, s.base, s.base_term, s.state, list(s.voters)],
         ]
         records += [[Kind.APPEND, i, e.term, e.data] for i, e in enumerate(s.entries, s.base + 1)]
         body = msgspec.msgpack.encode(records)
@@ -205,7 +205,8 @@
             stored.entries.append(Entry(term, data))
         case [Kind.CUT, index]:
             del stored.entries[max(0, index - stored.base) :]
-        case [Kind.SNAPSHOT, base, base_term, state]:
+        case [Kind.SNAPSHOT, base, base_term, state, *voters]:
+            stored.voters = tuple(voters[0]) if voters else ()
             stored.entries = stored.entries[base - stored.base :] if base > stored.base else []
             stored.base, stored.base_term, stored.state = base, base_term, state
         case _:
--- a/landingshift/policies/part.py
+++ b/landingshift/policies/part.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from landingshift.policies.agreement import Message, Stored, Times, Voter
+from landingshift.policies.agreement import VOTERS, Message, Stored, Times, Voter
 from landingshift.policies.book import Book, Change, End
 from landingshift.policies.desk import Desk
 from landingshift.policies.follower import Follower, Plan
@@ -35,6 +35,7 @@
     what: list[Any]
     since: float
     at: float
+    tries: int = 0
     answer: dict[str, Any] = field(default_factory=dict)
 
 
@@ -66,6 +67,7 @@
                 self.applied = stored.base
             self.voter = Voter(name, plan.voters, stored, times or Times(), chance, now)
             self.desk = Desk(self.voter, self.book, plan, wall)
+            self.follower.spare = True
         self.errands: dict[str, Errand] = {}
         self.answers: dict[str, dict[str, Any]] = {}
         self.out: list[tuple[str, list[Any]]] = []
@@ -121,6 +123,7 @@
                         message = decoder.decode(data)
                     except (msgspec.DecodeError, RecursionError):
                         return
+                    self.voter.known = {*self.plan.voters, *self.follower.voters}
                     self.voter.hear(who, message, now)
                     self.advance(now)
             case ["here", *rest]:
@@ -138,7 +141,7 @@
                     self.desk.do(who, id, what, now)
             case ["bye", int(run)]:
                 if self.desk is not None and self.book.members.get(who) == run:
-                    self.desk.do(who, f"bye {who}", ["gone", who], now)
+                    self.desk.do(who, f"bye {who}", ["gone", who, run], now)
             case ["found", str(id), str(end), int(version), str(said), list(waits)]:
                 self.found(id, {"id": id, "end": end, "version": version, "said": said, "waits": waits})
             case _:
@@ -169,7 +172,8 @@
             self.applied = voter.stored.base
         if self.applied < voter.commit:
             for entry in voter.entries(self.applied, voter.commit):
-                self.book.apply(entry.data)
+                if not entry.data.startswith(VOTERS):
+                    self.book.apply(entry.data)
             self.applied = voter.commit
             desk.step_at = now
             desk.step(now)
@@ -197,7 +201,8 @@
             return
         body = ["do", id, *errand.what]
         leader = self.follower.leader
-        for to in [leader] if leader else self.plan.voters:
+        errand.tries += 1  # a leader that is gone is found out late between changes
+        for to in [leader] if leader and errand.tries == 1 else self.follower.voters:
             if to == self.name:
                 self.take(to, body, now)
             else:
@@ -229,7 +234,7 @@
 
     def bye(self) -> None:
         """Its last word: it will decide nothing more."""
-        self.out += [(to, ["bye", self.run]) for to in self.plan.voters if to != self.name]
+        self.out += [(to, ["bye", self.run]) for to in self.follower.voters if to != self.name]
 
     def changes(self) -> list[Change]:
         return list(self.book.changes.values())
--- a/landingshift/policies/service.py
+++ b/landingshift/policies/service.py
@@ -7,7 +7,7 @@
 
 from landingshift import points
 from landingshift.brain import Server
-from landingshift.fleet.messages import Record
+from landingshift.fleet.messages import Record, State
 from landingshift.fleet.service import Fleet
 from landingshift.net.transport.loop import Timer
 from landingshift.policies.document import Base
@@ -37,9 +37,9 @@
         site = self.router.site
         self.base = Base(site.settings, site.methods, site.tenants)
         self.journal: Journal | None = None
-        if site.name in settings.voters:
-            if not settings.journal:
-                raise ValueError("journal: is needed: this server is among voters")
+        if site.name in settings.voters and not settings.journal:
+            raise ValueError("journal: is needed: this server is among voters")
+        if settings.journal:
             try:
                 self.journal = Journal(settings.journal, fleet.settings.fleet, site.name)
             except BadJournal as err:
@@ -66,7 +66,7 @@
             self.router.taps.add(self)
         fleet.talk.calls |= {
             "policy_do": self.do, "policy_known": self.known, "policy_status": self.status,
-            "policy_history": self.history, "policy_text": self.text,
+            "policy_history": self.history, "policy_text": self.text, "policy_trust": self.trust,
         }  # fmt: skip
         self.loop.after(0.0, self.tick)
 
@@ -205,6 +205,15 @@
     def do(self, params: list[Any]) -> bool:
         """[id, what, ...]: brought to the leader; False where too many are under way."""
         match params:
+            case [str(id), "gone", str(name)]:
+                record = self.node.members.get(name)
+                if record is None:
+                    raise ValueError(f"{name}: nobody of that name is known here")
+                if record.state is State.ALIVE:
+                    raise ValueError(f"{name}: it is there, as this server sees it")
+                good = self.part.ask_for(id, ["gone", name, record.run], self.loop.clock())
+                self.pass_on()
+                return good
             case [str(id), *what] if 0 < len(id) <= 64 and what and fits(what):
                 good = self.part.ask_for(id, what, self.loop.clock())
                 self.pass_on()
@@ -225,7 +234,7 @@
             "name": self.node.me.name, "version": self.laid, "decides": f.may(now),
             "why_not": "" if f.may(now) else self.why(), "newest": f.newest, "leader": f.leader,
             "leader_at": f"{record.host}:{record.port}" if record is not None else "",
-            "change": f.change, "stage": f.stage.value, "said": f.said,
+            "change": f.change, "stage": f.stage.value, "said": f.said, "voters": list(f.voters),
             "when_cut_off": self.settings.when_cut_off,
         }  # fmt: skip
         if voter is not None and self.part.desk is not None:
@@ -238,8 +247,8 @@
 
     def history(self, _params: list[Any]) -> list[dict[str, Any]]:
         """Raises ValueError on a server that is no voter."""
-        if self.part.voter is None:
-            raise ValueError("it is no voter: ask one of them")
+        if self.part.voter is None or not self.part.voter.votes_too:
+            raise ValueError(f"it is no voter: ask one of {', '.join(self.follower.voters)}")
         return [
             {
                 "id": c.id, "end": c.end.value, "version": c.version, "who": c.who, "why": c.why,
@@ -260,6 +269,18 @@
                 raise ValueError(f"version {version}: its text is not kept here")
         raise ValueError("a version is expected")
 
+    def trust(self, params: list[Any]) -> bool:
+        """[version, policy]; raises ValueError where it can't be."""
+        match params:
+            case [int(version), bytes(policy)] if version >= 0:
+                why = self.follower.trust(version, policy)
+                if why:
+                    raise ValueError(why)
+                self.log("policy_trusted", version=version)
+                self.router.stirred = True
+                return True
+        raise ValueError("a version and its text are expected")
+
     def finish(self) -> None:
         """The loop has ended: nothing more is decided here, which is what the others wait for."""
         self.part.bye()
@@ -276,7 +297,9 @@
             return len(policy) <= 65_536 and len(who) <= 64 and len(why) <= 300
         case ["withdraw", str(who), str(why)]:
             return len(who) <= 64 and len(why) <= 300
-        case ["gone", str()] | ["find"]:
+        case ["voters", "add" | "remove", str(name)]:
+            return 0 < len(name) <= 32
+        case ["find"]:
             return True
     return False
 
--- a/landingshift/policies/settings.py
+++ b/landingshift/policies/settings.py
@@ -16,8 +16,8 @@
 
     needs: ClassVar[tuple[str, ...]] = ("fleet",)
 
-    voters: Annotated[list[Name], Meta(min_length=1, max_length=7)]  # servers that agree: 1, 3, 5 or 7
-    journal: str = ""  # a voter's file, on a disk that lasts; one server a file
+    voters: Annotated[list[Name], Meta(min_length=1, max_length=7)]  # those that agree at first: 1, 3, 5 or 7
+    journal: str = ""  # of a voter, or one that may become one: on a disk that lasts; one server a file
     on: bool = True
     when_cut_off: Literal["serve", "stand_aside"] = "serve"
     overlap_ms: Annotated[float, Meta(ge=200.0, le=60_000.0)] = 1_000.0  # two versions at once, at most
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -7,9 +7,12 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from landingshift.policies.agreement import (
     LONGEST,
     SURE,
+    VOTERS,
     Append,
     Appended,
     Ask,
@@ -245,6 +248,40 @@
         voter.saved()
         self.assertEqual(voter.commit, index)
 
+    def test_voters_change_one_at_a_time_and_only_by_a_sure_leader(self) -> None:
+        voter = self.lead()
+        self.assertIsNone(voter.replace(("a", "b", "c", "d"), 1003.0))  # it is not sure yet
+        voter.hear("b", Appended(1, True, 1, voter.rounds), 1010.0)
+        for names in [("a", "b", "c"), ("a", "b", "d"), ("a", "b", "c", "d", "e"), ("a",)]:
+            self.assertIsNone(voter.replace(names, 1011.0))
+        index = voter.replace(("a", "b", "c", "d"), 1011.0)
+        assert index is not None
+        self.assertEqual(voter.others, ("b", "c", "d"))  # from the log on, before it is taken
+        self.assertIsNone(voter.replace(("a", "b", "c"), 1012.0))  # one after the other
+        voter.saved()
+        voter.hear("b", Appended(1, True, index, voter.rounds), 1013.0)
+        self.assertLess(voter.commit, index)  # two of four are no majority
+        voter.hear("d", Appended(1, True, index, voter.rounds), 1014.0)
+        self.assertEqual(voter.commit, index)
+        gone = voter.replace(("b", "c", "d"), 1015.0)
+        assert gone is not None
+        voter.saved()
+        for who in "bc":
+            voter.hear(who, Appended(1, True, gone, voter.rounds), 1016.0)
+        self.assertEqual(
+            (voter.commit, voter.role), (gone, Role.FOLLOWER)
+        )  # it led its own leaving to the end
+        voter.tick(1e6)
+        self.assertIs(voter.role, Role.FOLLOWER)  # and asks for no votes any more
+
+    def test_voters_that_were_cut_off_the_log_do_not_count(self) -> None:
+        voter = self.voter()
+        names = Entry(1, VOTERS + msgspec.msgpack.encode(["a", "b", "c", "d"]))
+        voter.hear("b", Append(1, 0, 0, (names,), 0, 1), 10.0)
+        self.assertEqual(voter.voters, ("a", "b", "c", "d"))
+        voter.hear("c", Append(2, 0, 0, (Entry(2, b""),), 0, 1), 20.0)
+        self.assertEqual(voter.voters, ("a", "b", "c"))
+
     def test_strangers_are_not_heard_and_the_log_is_bounded(self) -> None:
         voter = self.lead()
         voter.hear("z", Append(99, 0, 0, (), 0, 1), 1010.0)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from landingshift.interface import Method
-from landingshift.lab.policy import VIRTUAL, histories, virtual
+from landingshift.lab.policy import VIRTUAL, histories, searched, virtual
 from landingshift.lab.promises import broken
 from landingshift.net.program.config import site
 from landingshift.policies.book import IDS, SHOWN, TEXTS, Book, End, command
@@ -193,7 +193,7 @@
         leased: bool = True, sent: float | None = None,
     ) -> None:  # fmt: skip
         f.ask(now if sent is None else sent)
-        f.hear("v", ["told", f.number, True, version, change, want, list(ended), leased], now)
+        f.hear("v", ["told", f.number, True, version, change, want, list(ended), leased, ["v"]], now)
         f.out.clear()
 
     def start(self, aside: bool = False, check: str = "") -> Follower:
@@ -248,7 +248,7 @@
         f.ask(990.0)
         late = f.number  # answered before the change was opened, and long under way
         self.arm(f, 1000.0)
-        f.hear("v", ["told", late, True, 0, "", "", [], True], 1900.0)
+        f.hear("v", ["told", late, True, 0, "", "", [], True, ["v"]], 1900.0)
         self.assertIs(f.stage, Stage.ARMED)
         self.told(f, 1900.0, leased=False)  # nor one that does not say what became of this very change
         self.assertIs(f.stage, Stage.ARMED)
@@ -280,11 +280,21 @@
         self.told(f, 200.0, change="c", want="arm")
         self.assertIs(f.stage, Stage.REFUSED)
 
+    def test_an_operators_word_counts_only_where_no_leader_has_spoken(self) -> None:
+        f = self.follower()
+        self.assertEqual(f.trust(3, b"it"), "")
+        self.assertTrue(f.may(1e9))
+        self.assertIn("has version 0", self.start().trust(3, b"it"))
+        self.assertIn("stand_aside", self.follower(aside=True).trust(3, b"it"))
+        self.assertEqual(self.follower(check="methods.m: none").trust(3, b"it"), "methods.m: none")
+
     def test_nonsense_changes_nothing(self) -> None:
         f = self.start()
+        told = ["told", 2, True, 9, "", ""]
         for body in (
-            [], ["told"], ["told", 1, 1, 1], ["told", 99, True, 9, "", "", [], True], [3], ["text", 1, 2, 3],
-            ["told", 2, True, 9, "", "", ["x"], True], ["ask", "x", 1], ["no", 99, "why"],
+            [], ["told"], ["told", 1, 1, 1], [*told, ["x"], True, ["v"]], [*told, [], True, []], [3],
+            ["told", 99, True, 9, "", "", [], True, ["v"]], ["text", 1, 2, 3], ["ask", "x", 1],
+            ["no", 99, "why"],
         ):  # fmt: skip
             f.hear("v", body, 50.0)
         self.assertEqual((f.version, f.newest, f.joined), (0, 0, True))
@@ -302,6 +312,11 @@
                 row = virtual(name, 4, 1, "")
                 self.assertEqual(row.broken, [], row.figures)
 
+    def test_every_order_of_a_small_model(self) -> None:
+        self.assertEqual(searched(5, 4000, "").broken, [])
+        for away in ("lease", "ask"):
+            self.assertIn("all_or_none", str(searched(6, 12_000, away).broken))
+
     def test_each_defence_is_missed(self) -> None:
         """The same histories with one part of the rules taken away: a promise must be seen to break."""
         for away, row, promise in [
@@ -309,7 +324,7 @@
             ("ask", "", "no_way_back"),
             ("arm", "", "all_or_none"),
             ("sure", "leader_wakes", "all_or_none"),
-            ("votes", "forgets", "one_"),
+            ("disk", "forgets", "one_"),
         ]:
             with self.subTest(away=away):
                 found = virtual(row, 20, 1, away) if row else histories(0, 30, away)
--- a/tests/test_policies_service.py
+++ b/tests/test_policies_service.py
@@ -65,6 +65,9 @@
         self.holds("real_majority_gone")
         self.holds("real_majority_gone_for_good")
 
+    def test_a_voter_gone_for_good_is_replaced(self) -> None:
+        self.holds("real_voters_replaced")
+
     def test_halves_one_way_cuts_and_one_that_flaps(self) -> None:
         self.holds("real_cuts")
         self.holds("real_cuts_leased")
