Cold start: places follow what the store bears, one timer, floors that shrink with the fleet

Shares bound the store whoever has a place. Change: places begin at a third of calls_s and end at all, where nothing else is set; the agent is looked at when it has to ask, when something lent ends or comes, and each 200 ms, not at each of the fleet's looks; who sees more servers than planned divides the floor by what it sees; a row of minutes at 140 % load.

--- a/landingshift/coldstart/agent.py
+++ b/landingshift/coldstart/agent.py
@@ -121,7 +121,13 @@
 
     def share(self, now: float) -> float:
         """Calls a second; never less than its floor."""
-        return self.plan.own + sum(loans.share.amount(now) for loans in self.loans.values())
+        return self.own + sum(loans.share.amount(now) for loans in self.loans.values())
+
+    @property
+    def own(self) -> float:
+        """Its floor; smaller where more are there than were planned for, as far as it sees."""
+        there = len(self.node.members.present) + 1
+        return self.plan.own * min(1.0, self.plan.servers / there)
 
     def place(self, now: float) -> bool:
         return any(loans.place.amount(now) >= 1.0 for loans in self.loans.values())
@@ -153,13 +159,13 @@
         lenders = self.lenders()[:2]
         if not lenders:
             return
-        had = self.share(now) - self.plan.own
-        if self.answered and had < UNMET * (self.seen.need - self.plan.own):
+        had = self.share(now) - self.own
+        if self.answered and had < UNMET * (self.seen.need - self.own):
             self.second_until = now + SECOND * self.plan.lease
-        self.ask_one(lenders[0], self.seen.need - self.plan.own, True, now)
+        self.ask_one(lenders[0], self.seen.need - self.own, True, now)
         if now < self.second_until and len(lenders) > 1:
             first = self.loans[lenders[0]].share.amount(now)
-            self.ask_one(lenders[1], self.seen.need - self.plan.own - first, False, now)
+            self.ask_one(lenders[1], self.seen.need - self.own - first, False, now)
 
     def ask_one(self, lender: str, need: float, home: bool, now: float) -> None:
         plan, seen = self.plan, self.seen
--- a/landingshift/coldstart/service.py
+++ b/landingshift/coldstart/service.py
@@ -7,13 +7,13 @@
 
 from landingshift import points
 from landingshift.coldstart import snapshot
-from landingshift.coldstart.agent import Agent, Seen
+from landingshift.coldstart.agent import ROOM, Agent, Seen
 from landingshift.coldstart.lists import Question
 from landingshift.coldstart.seek import Seek
 from landingshift.coldstart.settings import Settings, plan
 from landingshift.coldstart.start import Stage
 from landingshift.coldstart.strain import Strain
-from landingshift.fleet.messages import Address
+from landingshift.fleet.messages import Address, Record
 from landingshift.fleet.service import Fleet
 from landingshift.fleet.settings import address
 from landingshift.interface import Outcome
@@ -24,6 +24,7 @@
     from landingshift.net.routing.records import Routed
 
 LOOK = 200.0  # ms between two looks at what this server needs
+SOONEST = 5.0
 SAVE = 60_000.0  # ms between two snapshots; the first comes sooner
 SOON = 5_000.0
 GRACE = 3_000.0  # ms that known addresses are tried before the list service is asked
@@ -55,8 +56,8 @@
         self.router.health_state.hold(self.name)
         self.router.taps.add(self)
         fleet.talk.calls |= {"coldstart": self.status, "lent": self.lent}
-        fleet.steps.append(self.step)
-        self.loop.after(0.0, self.look)
+        self.node.rooms[ROOM] = self.hear
+        self.timer = self.loop.after(0.0, self.look)
 
     def remember(self) -> bool:
         """The last list; True where it has somebody to try."""
@@ -91,10 +92,17 @@
 
     # Time
 
+    def hear(self, sender: Record, body: list[Any]) -> None:
+        self.agent.hear(sender, body)
+        self.look()  # what was lent is used at once
+
     def look(self) -> None:
-        self.timer = self.loop.after(LOOK, self.look)
         self.step()
         self.fleet.pass_on()
+        now, agent = self.loop.now, self.agent
+        ends = [end for had in agent.loans.values() for end in (had.share.end, had.place.end) if end > now]
+        self.loop.cancel(self.timer)
+        self.timer = self.loop.after(max(SOONEST, min([now + LOOK, agent.ask_at, *ends]) - now), self.look)
 
     def step(self) -> None:
         now, agent = self.loop.now, self.agent
@@ -168,7 +176,7 @@
         now, agent = self.loop.now, self.agent
         return {
             "name": self.node.me.name, "stage": agent.start.stage.value, "alone": agent.start.by_itself,
-            "share": agent.share(now), "floor": agent.plan.own, "strain": agent.seen.strain,
+            "share": agent.share(now), "floor": agent.own, "strain": agent.seen.strain,
             "need": agent.seen.need, "lenders": agent.lenders(), "asked": agent.asked,
             "answered": agent.answered, "list_asks": self.seek.asks,
         }  # fmt: skip
--- a/landingshift/coldstart/settings.py
+++ b/landingshift/coldstart/settings.py
@@ -11,6 +11,8 @@
 from landingshift.fleet.messages import Name
 from landingshift.fleet.settings import address
 
+WORTH = 3.0  # calls a second with which a start gets on
+BLIND = 32.0  # places at the beginning where no shares bound what starts call
 Many = Annotated[float, Meta(gt=0.0, le=1e6)]
 
 
@@ -26,8 +28,9 @@
     floor: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.1  # share of them divided evenly and never lent
     lease_ms: Annotated[float, Meta(ge=200.0, le=60_000.0)] = 1_500.0
     spare_ms: Annotated[float, Meta(ge=0.0, le=60_000.0)] = 300.0  # a lapsed share is not lent on before
-    places_first: Many = 32.0  # servers between start and warm, at the beginning
-    places_most: Many = 128.0
+    # Servers between start and warm, at the beginning and at most; 0: by calls_s, and all
+    places_first: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0
+    places_most: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0
     patience_ms: Annotated[float, Meta(ge=500.0, le=600_000.0)] = 8_000.0  # for a lender, then it goes alone
     alone_s: Many = 2.0  # starts a second, in the whole fleet, of those who go alone
     list_service: str = ""  # address:port of the list service, asked over MessagePack-RPC
@@ -43,18 +46,26 @@
         raise ValueError(f"snapshot: an absolute path is expected, not {settings.snapshot!r}")
     if len(set(settings.lenders)) != len(settings.lenders):
         raise ValueError("lenders: a name stands there twice")
-    if settings.places_first > settings.places_most:
-        raise ValueError(f"places_first: {settings.places_first:g} is more than places_most")
-    if settings.lenders and settings.places_most < len(settings.lenders):
+    first, most = places(settings)
+    if first > most:
+        raise ValueError(f"places_first: {first:g} is more than places_most, {most:g}")
+    if settings.lenders and most < len(settings.lenders):
         # Each lends its part by itself, and a part of a place is none.
-        raise ValueError(f"places_most: {settings.places_most:g} is less than one for each of lenders")
+        raise ValueError(f"places_most: {most:g} is less than one for each of lenders")
     if settings.floor > 0.5 and settings.lenders:
         raise ValueError(f"floor: {settings.floor:g} leaves less than half to be lent")
 
 
+def places(settings: Settings) -> tuple[float, float]:
+    """At the beginning, and at most. Shares bound what all call whoever has a place: places begin where each
+    that starts still has a share worth having, and keep the rest back for those."""
+    most = settings.places_most or max(float(settings.servers), float(len(settings.lenders)))
+    first = settings.calls_s / WORTH if settings.calls_s else BLIND
+    return settings.places_first or min(most, max(first, float(len(settings.lenders)))), most
+
+
 def plan(settings: Settings) -> Plan:
     return Plan(
         tuple(settings.lenders), settings.calls_s, settings.servers, settings.floor, settings.lease_ms,
-        settings.spare_ms, settings.places_first, settings.places_most, settings.patience_ms,
-        settings.alone_s,
+        settings.spare_ms, *places(settings), settings.patience_ms, settings.alone_s,
     )  # fmt: skip
--- a/landingshift/coldstart/start.py
+++ b/landingshift/coldstart/start.py
@@ -25,7 +25,7 @@
 
     def __init__(self, patience: float, servers: int, alone: float, chance: Random, now: float) -> None:
         self.patience, self.servers, self.alone, self.chance = patience, servers, alone, chance
-        self.stage, self.since = Stage.SEEKING, now
+        self.stage = Stage.SEEKING
         self.heard = now  # when a lender last answered
         self.turn = 0.0  # when it goes alone
         self.by_itself = False
@@ -47,8 +47,6 @@
                 self.stage, self.by_itself = Stage.STARTING, True
             case Stage.STARTING if warmth >= 1.0:
                 self.stage = Stage.WARM
-        if self.stage is not was:
-            self.since = now
         return self.stage is not was
 
     @property
--- a/landingshift/fleet/service.py
+++ b/landingshift/fleet/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
 from random import Random
 from selectors import EVENT_READ
 from typing import TYPE_CHECKING, Any
@@ -54,7 +53,6 @@
         self.strange: dict[str, int] = {}  # datagrams by why they were turned away, since the last line
         self.timer: Timer | None = None
         self.heard = self.said = self.unsent = 0
-        self.steps: list[Callable[[], None]] = []  # of other rooms, called with each look
         self.letters = Letters(self.loop, self.node, self.talk, settings.fleet)
         self.talk.calls |= {"members": self.members, "status": self.status}
         self.loop.watch(self.sock.fileno(), EVENT_READ, self)
@@ -84,8 +82,6 @@
             self.node.leave(self.loop.now)
         if self.node.next() <= self.loop.now:
             self.node.tick(self.loop.now)
-        for step in self.steps:
-            step()
         self.pass_on()
 
     def pass_on(self) -> None:
--- a/landingshift/lab/coldstart.py
+++ b/landingshift/lab/coldstart.py
@@ -16,6 +16,7 @@
 from landingshift.lab.rows import Row, must
 
 SMALL: dict[str, Any] = {"servers": 60, "lenders": 3, "calls": 120.0, "know": "snapshot", "cold_ms": 2000.0}
+SCARCE = (32.0, 128.0)  # places, so that some wait for one
 LATEST = 200_000.0  # virtual ms after which a fleet counts as stuck
 PEAK = 1.1  # times what they bear that list service and store may see in a second
 
@@ -80,7 +81,7 @@
 def all_at_once(tried: Tried, row: Row) -> None:
     rise = tried.rise()
     rise.start_all()
-    check(row, rise, 2.0)
+    check(row, rise, 1.5)
 
 
 def lenders_killed(tried: Tried, row: Row) -> None:
@@ -98,7 +99,7 @@
 
 def holders_lost(tried: Tried, row: Row) -> None:
     """Of those who hold places some are killed, some stopped for 5 s, some cut off."""
-    rise = tried.rise()
+    rise = tried.rise(places=SCARCE)
     rise.start_all()
     rise.run(6000.0)
     lenders = rise.case.lenders
@@ -247,10 +248,10 @@
             row.runs += 1
         yield row
     if servers:
-        from landingshift.lab.coldstart_real import REAL
+        from landingshift.lab.coldstart_real import LONG, REAL
 
-        for name, real in REAL.items():
-            if only and only != name:
+        for name, real in (REAL | LONG).items():
+            if (only and only != name) or (not only and name in LONG):
                 continue
             row = Row(name)
             with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
--- a/landingshift/lab/coldstart_real.py
+++ b/landingshift/lab/coldstart_real.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Any
 
 from landingshift.lab.rig import Rig, believed
 from landingshift.lab.rows import Row, must
@@ -22,11 +23,23 @@
     """`know`: peers in the settings, the list service, or nobody. The plain program without `rooms`."""
 
     def __init__(
-        self, folder: str, count: int, seed: int, rooms: bool = True, know: str = "peers", away: str = ""
+        self,
+        folder: str,
+        count: int,
+        seed: int,
+        rooms: bool = True,
+        know: str = "peers",
+        away: str = "",
+        scarce: bool = True,
+        rpcs: float = RPCS,
+        cores: int = 8,
+        work: float = 4.0,
     ) -> None:
-        self.count, self.rooms, self.know, self.away = count, rooms and away != "shares", know, away
+        self.count, self.rooms, self.know, self.scarce = count, rooms and away != "shares", know, scarce
         self.lenders = max(2, min(8, count // 12)) if count >= 6 else 2
-        self.rig = Rig(folder, count, seed, self.toml, RPCS * count, CALLS * count, ASKS, FILL, COLD)
+        self.rig = Rig(
+            folder, count, seed, self.toml, rpcs * count, CALLS * count, ASKS, FILL, COLD, work, cores
+        )
         self.rig.yard.listed = [port.address for port in self.rig.switch.ports.values()]
 
     def toml(self, i: int, rig: Rig) -> str:
@@ -37,7 +50,13 @@
         peers = ", ".join(f'"{place(*p)}"' for p in ports[:3]) if self.know == "peers" else ""
         lenders = ", ".join(f'"n{j}"' for j in range(self.lenders))
         listed = place(*rig.yard.list_door.address) if self.know == "list" else ""
-        most = self.count if self.away == "places" else max(self.lenders, self.count * 2 // 3)
+        # Rows of faults keep places scarce, so that some wait for one; a plain start goes as it is set.
+        most = max(self.lenders, self.count * 2 // 3)
+        scarce = (
+            f"places_first = {max(self.lenders, self.count // 6)}\nplaces_most = {most}"
+            if self.scarce
+            else ""
+        )
         return f"""
 [fleet]
 fleet = "lab"
@@ -49,8 +68,7 @@
 servers = {self.count}
 calls_s = {CALLS * self.count}
 lenders = [{lenders}]
-places_first = {max(self.lenders, self.count // 6)}
-places_most = {most}
+{scarce}
 list_service = "{listed}"
 list_asks_s = {ASKS}
 snapshot = "{rig.folder}/n{i}.members"
@@ -101,11 +119,11 @@
 Case = Callable[[str, int, int, str, Row], None]
 
 
-def case(work: Callable[[Fleet, Row], None], know: str = "peers") -> Case:
+def case(play: Callable[[Fleet, Row], None], know: str = "peers", **how: Any) -> Case:
     def run(folder: str, count: int, seed: int, away: str, row: Row) -> None:
-        fleet = Fleet(folder, count, seed, know=know, away=away)
+        fleet = Fleet(folder, count, seed, know=know, away=away, **how)
         try:
-            work(fleet, row)
+            play(fleet, row)
         finally:
             fleet.rig.close()
 
@@ -257,9 +275,31 @@
         fleet.rig.close()
 
 
+def overload(fleet: Fleet, row: Row) -> None:
+    """Three minutes at 140 % of what engines do: nobody is taken for dead, and a real death is known."""
+    rig, last = fleet.rig, fleet.count - 1
+    fleet.start_all()
+    rig.until(wait(fleet), lambda: rig.warm_at >= 0.0)
+    time.sleep(180.0)
+    wrong = [(i, e) for i in range(fleet.count) for e in rig.logged(i) if e["event"] == "fleet_dead"]
+    must(row, not wrong, f"{len(wrong)} false deaths: {wrong[:2]}")
+    rig.kill(last)
+    began = time.monotonic()
+
+    def known() -> bool:
+        gone = [any(e["event"] == "fleet_gone" for e in rig.logged(i)) for i in range(last)]
+        return sum(gone) >= 0.99 * len(gone)
+
+    must(row, rig.until(20.0, known), "a death is not known after 20 s")
+    row.figures["death_known_s"] = round(time.monotonic() - began, 1)
+    fleet.end(row)
+
+
+LONG: dict[str, Case] = {"real_overload": case(overload, rpcs=1.4 * 25.0, cores=1, work=40.0)}
 REAL: dict[str, Case] = {
     "real_baseline": baseline,
-    "real_at_once": case(at_once),
+    "real_at_once": case(at_once, scarce=False),
+    "real_scarce": case(at_once),
     "real_lenders_killed": case(lenders_killed),
     "real_stopped_and_cut": case(stopped_and_cut),
     "real_killed_at_each_step": case(killed_at_each_step),
--- a/landingshift/lab/rise.py
+++ b/landingshift/lab/rise.py
@@ -15,6 +15,7 @@
 
 from landingshift.coldstart.agent import Agent, Plan, Seen
 from landingshift.coldstart.seek import Seek
+from landingshift.coldstart.settings import Settings, plan
 from landingshift.coldstart.strain import Strain
 from landingshift.fleet.messages import Message, Record, State
 from landingshift.fleet.node import Node, Times
@@ -39,14 +40,18 @@
     asks: float = 20.0
     fill: float = 20.0
     cold_ms: float = 4_000.0
-    places: tuple[float, float] = (32.0, 128.0)
+    places: tuple[float, float] = (0.0, 0.0)  # at the beginning, at most; 0: as the settings' default
     know: str = "list"  # "snapshot": all know some addresses; "list": the list service does; "nobody"
     list_up: tuple[float, float] = (0.0, 1e12)  # from, until, ms
     baseline: bool = False  # no talk: each calls as it likes and asks the list at once
 
     def plan(self) -> Plan:
-        names = tuple(f"n{i}" for i in range(self.lenders))
-        return Plan(names, self.calls, self.servers, 0.1, 1_500.0, 300.0, *self.places, 8_000.0, 2.0)
+        names = [f"n{i}" for i in range(self.lenders)]
+        first, most = self.places
+        found = Settings(
+            servers=self.servers, lenders=names, calls_s=self.calls, places_first=first, places_most=most
+        )
+        return plan(found)
 
 
 class Mind:
@@ -63,7 +68,7 @@
         known = [address(chance.randrange(case.servers)) for _ in range(16)]
         peers = known if case.know == "snapshot" else []
         self.node = Node(me, peers, Times(), 10_000, chance, now, rise.log(i))
-        self.agent = Agent(self.node, case.plan(), chance, now)
+        self.agent = Agent(self.node, rise.plan, chance, now)
         self.seek = Seek(case.servers, case.asks, bool(peers), 3_000.0, chance, now)
         if case.baseline:
             self.seek.at = now
@@ -167,7 +172,7 @@
     """One run; `run(ms)` goes on, `broken` names what did not hold."""
 
     def __init__(self, case: Case, seed: int, **world: Any) -> None:
-        self.case, self.seed = case, seed
+        self.case, self.seed, self.plan = case, seed, case.plan()
         self.world = World(seed, **world)
         self.store = Store(case.calls)
         self.minds: dict[int, Mind] = {}
@@ -231,7 +236,7 @@
         self.most_shares, self.most_places = max(self.most_shares, shares), max(self.most_places, places)
         if shares > self.case.calls * 1.0001 and not self.case.baseline:
             self.must(False, f"shares of {shares:.1f} where the store bears {self.case.calls:g}")
-        self.must(places <= self.case.places[1], f"{places:g} places of {self.case.places[1]:g}")
+        self.must(places <= self.plan.most, f"{places:g} places of {self.plan.most:g}")
         self.warm.append(warm / self.case.servers)
         if self.warm_at < 0.0 and warm >= 0.95 * self.case.servers:
             self.warm_at = self.world.now
