Cold start: a share that grows is used at once, and need counts since a server began

Seen: sixty real processes were open 2.1 to 4.2 s after a common start, but made 30 to 90 calls a second of 240 until 5.2 s; their log says paced calls on. Cause: use_below (brain.py) kept the rate at the smallest share so far, from which follow_calls raises it by a factor of 2.6 a second; Strain.need divided the calls of the first moments by two whole seconds. Ruled out: places (33 in use of 80), finding each other (all are waiting 0.4 s after their start), asking more often alone (11.4 s as before). Change: a rate that only the share bounds follows the share up; need counts since the first call that was asked for; who was given all it asked for and needs twice that asks again within 125 ms.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -566,8 +566,9 @@
 
     def use_below(self, share: float) -> None:
         """At once: what was saved up under a larger share must not be spent under a smaller one."""
+        free = self.rate >= self.share  # it was paced by its share alone: it follows it up at once too
         self.share = max(0.01, share)
-        self.rate = min(self.rate, self.share)
+        self.rate = self.share if free else min(self.rate, self.share)
         self.tokens = min(self.tokens, 1.0)
 
     def count_call(self, job: Job, lost: bool) -> None:
--- a/landingshift/coldstart/agent.py
+++ b/landingshift/coldstart/agent.py
@@ -115,6 +115,8 @@
         # Servers that began in one second must not ask in step for ever.
         self.ask_at = now + plan.lease / ASKS * chance.random()
         self.asked = self.answered = 0
+        self.wanted = 0.0  # calls a second that were asked for last
+        self.asked_at = now
         node.rooms[ROOM] = self.hear
 
     # What this server may do
@@ -147,7 +149,9 @@
     def step(self, now: float, seen: Seen) -> bool:
         """Asks where that is due; True where the stage changed."""
         self.seen = seen
-        if now >= self.ask_at:
+        # All that it asked for was lent, and it needs twice that by now: a start must not wait for its turn.
+        more = seen.need > 2.0 * max(self.wanted, self.own) and self.share(now) >= UNMET * self.wanted
+        if now >= self.ask_at or (more and now >= self.asked_at + self.plan.lease / ASKS / 4.0):
             self.ask_at = now + self.plan.lease / ASKS * self.chance.uniform(0.9, 1.1)
             self.ask(now)
         for name in [n for n, had in self.loans.items() if max(had.share.end, had.place.end) <= now]:
@@ -156,6 +160,7 @@
         return self.start.step(now, len(self.lenders()), self.place(now), seen.warmth)
 
     def ask(self, now: float) -> None:
+        self.asked_at, self.wanted = now, self.seen.need
         lenders = self.lenders()[:2]
         if not lenders:
             return
--- a/landingshift/coldstart/strain.py
+++ b/landingshift/coldstart/strain.py
@@ -22,6 +22,7 @@
         self.buckets: list[tuple[int, int, float]] = [EMPTY] * BUCKETS  # good, bad, ms of the good
         self.wants = [0] * BUCKETS  # calls that RPCs asked for
         self.stamp = 0
+        self.since = -1.0  # when the first call was asked for, ms
         self.base = 0.0  # lowest mean of all buckets with enough calls; 0 where there was none
 
     def turn(self, now: float) -> None:
@@ -49,12 +50,15 @@
     def needed(self, now: float) -> None:
         """An RPC asks for a call, whether or not it will get one: what was left out is needed too."""
         self.turn(now)
+        if self.since < 0.0:
+            self.since = now
         self.wants[self.stamp % BUCKETS] += 1
 
     def need(self, now: float) -> float:
-        """Calls a second that were asked for lately."""
+        """Calls a second that were asked for lately; of one that has just begun, since it began."""
         self.turn(now)
-        return sum(self.wants) * 1000.0 / (BUCKETS * WIDTH)
+        span = max(WIDTH, min(BUCKETS * WIDTH, now - self.since)) if self.since >= 0.0 else BUCKETS * WIDTH
+        return sum(self.wants) * 1000.0 / span
 
     def value(self, now: float, told: float) -> float:
         """`told`: the lowest base that others know, 0 where none does. UNKNOWN without a call."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -241,6 +241,18 @@
         self.assertEqual(b.fates(late), ["push_back"])
         self.assertIn(("health", False, True), b.did)
 
+    def test_a_larger_share_of_the_store_is_used_at_once_unless_calls_were_lost(self) -> None:
+        # Paced up step by step from a floor, a fleet that starts leaves most of the store unused for seconds.
+        b = Bench(CALLS, below=Below.SHARED)
+        b.server.use_below(0.4)
+        b.server.use_below(8.0)
+        self.assertEqual(b.server.rate, 8.0)
+        b.server.rate = 1.0  # as after two calls in a row without an answer
+        b.server.use_below(16.0)
+        self.assertEqual(b.server.rate, 1.0)
+        b.server.use_below(0.5)
+        self.assertEqual(b.server.rate, 0.5)
+
     def test_who_stands_aside_runs_nothing_new_says_so_and_answers_what_runs(self) -> None:
         b = Bench(cores=1, hold_off_max=900.0)
         runs, held = b.read(), b.read()
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -154,6 +154,16 @@
                 # Nothing stays on after its cause; and that nothing was called is not that all is well.
                 self.assertEqual(strain.value(60_000.0, told), UNKNOWN)
 
+    def test_need_of_one_that_has_just_begun_counts_since_it_began(self) -> None:
+        strain = Strain()
+        for i in range(20):  # forty a second
+            strain.needed(1000.0 + 25.0 * i)
+        self.assertAlmostEqual(strain.need(1500.0), 40.0, delta=2.0)
+        for i in range(20, 160):
+            strain.needed(1000.0 + 25.0 * i)
+        self.assertAlmostEqual(strain.need(5000.0), 40.0, delta=5.0)
+        self.assertEqual(strain.need(60_000.0), 0.0)
+
 
 class List(unittest.TestCase):
     def setUp(self) -> None:
