--- a/landingshift/policies/journal.py
+++ b/landingshift/agreement/journal.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from landingshift import points
-from landingshift.policies.agreement import Entry, Stored
+from landingshift.agreement.voter import Entry, Stored
 
 HEAD = b"landingshift-agreement 1 "
 LARGEST = 8 << 20  # bytes of a journal before it is written anew
--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -92,6 +92,28 @@
     show(experiment(repeats, seed, servers, broken or "", only, histories), file)
 
 
+@group.command()
+@click.option("--repeats", type=click.IntRange(1, 1_000_000), default=20, show_default=True)
+@click.option(
+    "--servers",
+    type=click.IntRange(0, 100),
+    default=0,
+    show_default=True,
+    help="Real processes; 0: virtual only.",
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
+@click.option("--break", "broken", type=click.Choice(["floor", "end"]))
+@click.option("--only", help="One case by its name.")
+def upkeep(
+    repeats: int, servers: int, seed: int, file: str | None, broken: str | None, only: str | None
+) -> None:
+    """Machines go out for work within what the floor leaves, whatever fails meanwhile."""
+    from landingshift.lab.upkeep import experiment
+
+    show(experiment(repeats, seed, servers, broken or "", only), file)
+
+
 def show(found: Iterable[Row], file: str | None, plot: str | None = None) -> None:
     """A line a row as it is done; ends with status 1 where a promise did not hold."""
     rows = []
--- a/landingshift/cli/main.py
+++ b/landingshift/cli/main.py
@@ -15,7 +15,7 @@
 class Lazy(click.Group):
     """Loads a group's module when it is asked for: `serve` must not pay for what the others need."""
 
-    ROOMS = ("fleet", "ledger", "lab", "policy")
+    ROOMS = ("fleet", "ledger", "lab", "policy", "upkeep")
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted({*super().list_commands(ctx), *self.ROOMS})
--- a/landingshift/lab/policy.py
+++ b/landingshift/lab/policy.py
@@ -15,7 +15,7 @@
 from landingshift.lab.promises import broken
 from landingshift.lab.rows import Row, must
 from landingshift.lab.search import Search
-from landingshift.policies.agreement import Role
+from landingshift.agreement.voter import Role
 from landingshift.policies.part import ENDED
 
 CHUNK = 50  # histories that one worker plays at a time
--- a/landingshift/lab/rig.py
+++ b/landingshift/lab/rig.py
@@ -41,6 +41,7 @@
         self.rig, self.name = rig, name
         self.open: dict[int, float] = {}
         self.number = 0
+        self.leaving = False  # it was asked to send no more
         self.reader = gateway.Reader()
         self.unread = b""
         stream = connect(rig.loop, address, self, 1 << 20)
@@ -61,6 +62,7 @@
     def data(self, data: bytes) -> None:
         self.unpacker.feed(data)
         for message in self.unpacker:
+            self.leaving |= message[0] == 2
             if message[0] == 1:
                 begun = self.open.pop(message[1], None)
                 if begun is None:
@@ -245,6 +247,8 @@
         caller = self.callers.get(name)
         if caller is None or caller.stream is None:
             caller = self.callers[name] = Caller(self, name, self.listens[i])
+        if caller.leaving:
+            return
         if len(caller.open) < 30:
             caller.rpc()
 
--- a/landingshift/lab/standins.py
+++ b/landingshift/lab/standins.py
@@ -246,6 +246,8 @@
                 name = words[1].decode()
                 self.heard[name] = self.loop.now
                 self.first.setdefault(name, self.loop.now)
+            elif len(words) == 3:
+                self.heard.pop(words[1].decode(), None)  # it says that it is not to be counted on
 
     def on(self, name: str) -> bool:
         return self.loop.now - self.heard.get(name, -1e9) < 3000.0
--- a/landingshift/net/program/features.py
+++ b/landingshift/net/program/features.py
@@ -23,6 +23,7 @@
     "fleet": "landingshift.fleet",
     "coldstart": "landingshift.coldstart",
     "policies": "landingshift.policies",
+    "upkeep": "landingshift.upkeep",
 }
 ENV = "LANDINGSHIFT_TOML"
 
--- a/landingshift/policies/part.py
+++ b/landingshift/policies/part.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from landingshift.policies.agreement import VOTERS, Message, Stored, Times, Voter
+from landingshift.agreement.shelf import Shelf
+from landingshift.agreement.voter import VOTERS, Message, Stored, Times, Voter
 from landingshift.policies.book import Book, Change, End
 from landingshift.policies.desk import Desk
 from landingshift.policies.follower import Follower, Plan
@@ -60,14 +61,17 @@
         self.voter: Voter | None = None
         self.book = Book(most)
         self.desk: Desk | None = None
+        self.shelf = Shelf()
+        self.shelf.add("policies", self.book)
         self.applied = 0
         if stored is not None:
             if stored.base:
-                self.book.load(stored.state)
+                self.shelf.load(stored.state)
                 self.applied = stored.base
             self.voter = Voter(name, plan.voters, stored, times or Times(), chance, now)
             self.desk = Desk(self.voter, self.book, plan, wall)
             self.follower.spare = True
+        self.hearers: list[Callable[[float], None]] = []  # of other rooms, told when entries were taken
         self.errands: dict[str, Errand] = {}
         self.answers: dict[str, dict[str, Any]] = {}
         self.out: list[tuple[str, list[Any]]] = []
@@ -168,17 +172,19 @@
         voter, desk = self.voter, self.desk
         assert voter is not None and desk is not None
         if voter.stored.base > self.applied:  # a snapshot came
-            self.book.load(voter.stored.state)
+            self.shelf.load(voter.stored.state)
             self.applied = voter.stored.base
         if self.applied < voter.commit:
             for entry in voter.entries(self.applied, voter.commit):
                 if not entry.data.startswith(VOTERS):
-                    self.book.apply(entry.data)
+                    self.shelf.apply(entry.data)
             self.applied = voter.commit
+            for hear in self.hearers:
+                hear(now)
             desk.step_at = now
             desk.step(now)
             if voter.commit - voter.stored.base > COMPACT:
-                voter.compact(self.applied, self.book.dump())
+                voter.compact(self.applied, self.shelf.dump())
 
     # Operators
 
--- a/landingshift/policies/service.py
+++ b/landingshift/policies/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -12,7 +13,7 @@
 from landingshift.net.transport.loop import Timer
 from landingshift.policies.document import Base
 from landingshift.policies.follower import Stage
-from landingshift.policies.journal import BadJournal, Journal
+from landingshift.agreement.journal import BadJournal, Journal
 from landingshift.policies.part import Part
 from landingshift.policies.settings import Settings, plan
 
@@ -121,6 +122,34 @@
         self.part.deliver(self.loop.clock())
         return True
 
+    # For rooms that keep a book on the same agreement
+
+    def keep(self, name: str, book: Any, taken: Callable[[float], None]) -> None:
+        """`taken(now)` hears that entries were taken, on voters."""
+        self.part.shelf.add(name, book)
+        self.part.hearers.append(taken)
+
+    def propose(self, data: bytes) -> bool:
+        good = self.part.voter is not None and self.part.voter.propose(data) is not None
+        self.pass_on()
+        return good
+
+    def leads(self) -> bool:
+        """Whether this server speaks for all; the clock is read now."""
+        return self.part.voter is not None and self.part.voter.sure(self.loop.clock())
+
+    @property
+    def is_voter(self) -> bool:
+        return self.part.voter is not None
+
+    @property
+    def leader(self) -> str:
+        return self.follower.leader
+
+    @property
+    def voters(self) -> list[str]:
+        return self.follower.voters
+
     # What the module decides by
 
     def before(self) -> None:
--- /dev/null
+++ b/landingshift/upkeep/__init__.py
@@ -0,0 +1,1 @@
+"""Machines taken out for work, in an order that the servers settle among themselves."""
--- /dev/null
+++ b/landingshift/upkeep/book.py
@@ -0,0 +1,119 @@
+"""What the voters agree on about work: wishes, permissions and how far each is. Pure.
+
+A permission's number is given here and only grows; one machine has one permission. A command that does not
+fit any more when its turn comes does nothing.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from landingshift.agreement.shelf import entry
+from landingshift.upkeep.wishes import ENDED, BadMove, Stage, Wish
+
+NAME = "upkeep"
+MOST = 2000  # wishes that stand
+HISTORY = 500  # of those that ended
+
+
+class Ended(Struct, array_like=True):
+    name: str
+    end: str
+    why: str
+    since: float
+    at: float  # Unix ms of the leader
+    number: int
+
+
+class Kept(Struct, array_like=True):
+    number: int
+    held: str
+    wishes: list[Any]
+    history: list[Ended]
+
+
+FIELDS = ("name", "minutes", "since", "urgency", "not_before", "not_after", "alone", "group")
+
+
+def command(*words: Any) -> bytes:
+    return entry(NAME, *words)
+
+
+class Book:
+    def __init__(self) -> None:
+        self.number = 0  # the last permission's
+        self.held = ""  # why nobody is let go; empty where somebody may be
+        self.wishes: dict[str, Wish] = {}
+        self.runs: dict[str, int] = {}  # the run that each permission was given to
+        self.history: list[Ended] = []
+
+    def apply(self, data: bytes) -> None:
+        match msgspec.msgpack.decode(data)[1:]:
+            case ["wish", list(some)]:
+                for one in some:
+                    self.wish(Wish(**dict(zip(FIELDS, one, strict=True))))
+            case ["permit", str(name), int(run), at]:
+                self.permit(name, run, at)
+            case ["move", str(name), int(number), str(to), str(why), at]:
+                self.move(name, number, Stage(to), why, at)
+            case ["hold", str(why)]:
+                self.held = why
+
+    def wish(self, wish: Wish) -> None:
+        """Asked twice, it stands once; the later word on how and when counts until it is permitted."""
+        had = self.wishes.get(wish.name)
+        if had is not None and had.stage is not Stage.WISHED:
+            return
+        if had is not None:
+            wish.since = had.since
+        elif len(self.wishes) >= MOST:
+            return
+        self.wishes[wish.name] = wish
+
+    def permit(self, name: str, run: int, at: float) -> None:
+        wish = self.wishes.get(name)
+        if wish is None or wish.stage is not Stage.WISHED or self.held:
+            return
+        self.number += 1
+        wish.move(Stage.PERMITTED)
+        wish.number, wish.until = self.number, at
+        self.runs[name] = run
+
+    def move(self, name: str, number: int, to: Stage, why: str, at: float) -> None:
+        wish = self.wishes.get(name)
+        if wish is None or wish.number != number:
+            return
+        try:
+            wish.move(to, number)
+        except BadMove:
+            return  # told twice, or too late
+        wish.why = why
+        if to is Stage.WISHED:
+            wish.number = 0
+        if to in ENDED:
+            del self.wishes[name]
+            self.runs.pop(name, None)
+            self.history.append(Ended(name, to.value, why, wish.since, at, number))
+            del self.history[:-HISTORY]
+
+    def dump(self) -> bytes:
+        rows = [
+            [getattr(w, f) for f in FIELDS]
+            + [w.stage.value, w.number, w.until, w.why, self.runs.get(w.name, 0)]
+            for w in self.wishes.values()
+        ]
+        return msgspec.msgpack.encode(Kept(self.number, self.held, rows, self.history))
+
+    def load(self, state: bytes) -> None:
+        kept = msgspec.msgpack.decode(state, type=Kept)
+        self.number, self.held, self.history = kept.number, kept.held, kept.history
+        self.wishes, self.runs = {}, {}
+        for *fields, stage, number, until, why, run in kept.wishes:
+            wish = Wish(**dict(zip(FIELDS, fields, strict=True)))
+            wish.stage, wish.number, wish.until, wish.why = Stage(stage), number, until, why
+            self.wishes[wish.name] = wish
+            if run:
+                self.runs[wish.name] = run
--- /dev/null
+++ b/landingshift/upkeep/foreman.py
@@ -0,0 +1,248 @@
+"""The leader's work on wishes: who may go, who is back, what is refused or taken back. Pure.
+
+Reports of machines may be lost with their leader; the next one lets nobody go before it has heard of the
+fleet for `SETTLE` ms. What must not be lost is in the book.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from landingshift.upkeep.book import Book, command
+from landingshift.upkeep.floor import Floor, Machine, Needs
+from landingshift.upkeep.order import hopeless, next_ones, taken_back
+from landingshift.upkeep.rings import Served, allowed, worse
+from landingshift.upkeep.wishes import COUNTED, Stage, Wish
+
+HOPELESS = 5000.0  # ms between two looks for what can never be met
+SETTLE = 3000.0  # ms of its reign that a leader only listens
+STALE = 6000.0  # ms after which a machine that says nothing counts as lost
+SHORT = 400.0  # ms between two looks
+PEAK = 0.9  # of the largest demand of the last minutes that a forecast keeps: load may come back as it went
+FADE = 0.999  # by which that fades a look
+MOST = 10_000
+UNEVEN = 0.02
+
+
+@dataclass(slots=True, eq=False)
+class Report:
+    """What a machine says of itself; rates are RPCs a second, `ok` and `all` counted since its start."""
+
+    machine: Machine
+    run: int
+    warmth: float
+    load: float
+    at: float
+    going: int = 0  # the permission by which it is leaving
+    did: int = 0  # the one by which its earlier run left, as its disk says
+    ok: float = 0.0
+    all: float = 0.0
+    offered_at: float = -1e9  # when it was last told that it may go
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """Alike on all servers. A permission not used for `lasts` ms is void, and `spare` later given on."""
+
+    needs: Needs = field(default_factory=Needs)
+    lasts: float = 3000.0
+    spare: float = 500.0
+    back: float = 1.0  # minutes from a start until warm, about
+    rings: bool = True
+
+
+class Foreman:
+    """`propose(data)` puts an entry to the agreement; `leads(now)` whether this one may speak for it."""
+
+    def __init__(
+        self,
+        book: Book,
+        plan: Plan,
+        propose: Callable[[bytes], object],
+        leads: Callable[[float], bool],
+        gone: Callable[[str], bool],
+        wall: Callable[[], float],
+        log: Callable[..., None],
+    ) -> None:
+        self.book, self.plan, self.propose, self.leads = book, plan, propose, leads
+        self.gone, self.wall, self.log = gone, wall, log
+        self.reports: dict[str, Report] = {}
+        self.since, self.led, self.look_at, self.now = 0.0, False, 0.0, 0.0
+        self.peak, self.hopeless_at = 0.0, -1e9
+        self.touched, self.rest = Served(), Served()
+        self.done_names: set[str] = set()
+        self.why = ""  # why nobody is let go just now
+        self.asked: dict[str, float] = {}  # proposals under way, by what and when
+
+    def begin(self, now: float) -> None:
+        self.since, self.reports, self.peak = now, {}, 0.0
+        self.touched, self.rest, self.asked = Served(), Served(), {}
+
+    def put(self, key: str, data: bytes, now: float) -> None:
+        """Once a second for each thing: the entry may be lost with a leader."""
+        if now - self.asked.get(key, -1e9) >= 1000.0:
+            if len(self.asked) >= MOST:
+                self.asked.clear()
+            self.asked[key] = now
+            self.propose(data)
+
+    # Reports
+
+    def hear(self, machine: Machine, run: int, body: list[Any], now: float) -> list[Any] | None:
+        """The answer: stage, permission's number, for how long it may be used; None where this leads not."""
+        if not self.leads(now):
+            return None
+        match body:
+            case [float(warmth), float(load), int(going), int(did), float(ok), float(all)]:
+                pass
+            case _:
+                return None
+        if machine.name not in self.reports and len(self.reports) >= MOST:
+            return None
+        had = self.reports.get(machine.name)
+        report = Report(machine, run, min(1.0, max(0.0, warmth)), load, now, going, did, ok, all)
+        if had is not None:
+            report.offered_at = had.offered_at if had.run == run else -1e9
+            if had.run == run:
+                side = self.touched if machine.name in self.done_names else self.rest
+                side.add(max(0.0, ok - had.ok), max(0.0, all - had.all))
+        self.reports[machine.name] = report
+        wish = self.book.wishes.get(machine.name)
+        if wish is None:
+            return ["", 0, 0.0]
+        self.follow(wish, report, now)
+        may = wish.stage is Stage.PERMITTED and self.book.runs.get(wish.name) == run and not self.book.held
+        may = may and not self.asked.get(f"back {wish.name} {wish.number}")
+        if may and not going:
+            report.offered_at = now
+        return [wish.stage.value, wish.number, self.plan.lasts if may else 0.0]
+
+    def follow(self, wish: Wish, report: Report, now: float) -> None:
+        """Moves a wish on by what its machine says."""
+        same = self.book.runs.get(wish.name) == report.run
+        name, number = wish.name, wish.number
+        match wish.stage:
+            case Stage.PERMITTED if (same and report.going == number) or report.did == number:
+                self.move(wish, Stage.DRAINING, "", now)
+            case Stage.PERMITTED if not same:
+                self.move(wish, Stage.WISHED, "it was started anew before it left", now)
+            case Stage.DRAINING | Stage.OUT if not same:
+                self.move(wish, Stage.RETURNING, "", now)
+            case Stage.RETURNING:
+                self.move(wish, Stage.WARMING, "", now)
+            case Stage.WARMING:
+                wish.warmth = report.warmth
+                if report.warmth >= 1.0:
+                    self.put(f"done {name} {number}", self.moved(wish, Stage.DONE, ""), now)
+                    self.done_names.add(name)
+
+    def moved(self, wish: Wish, to: Stage, why: str) -> bytes:
+        return command("move", wish.name, wish.number, to.value, why, self.wall())
+
+    def move(self, wish: Wish, to: Stage, why: str, now: float) -> None:
+        self.put(f"{to.value} {wish.name} {wish.number}", self.moved(wish, to, why), now)
+
+    # Looks
+
+    def demand(self) -> float:
+        """What is asked for now, and what it was lately: less of it now is no promise that it stays so."""
+        return max(self.asked_for(), PEAK * self.peak)
+
+    def asked_for(self) -> float:
+        """RPCs a second; what a silent machine told last goes to others by now."""
+        # One that has just left counts too: others tell what they took over only with their next reports.
+        return sum(r.load for r in self.reports.values() if self.now - r.at <= STALE)
+
+    def lost(self, now: float) -> dict[str, float]:
+        """Shares that are out unasked, by name: silent ones, and what is cold of those not sent away."""
+        found = {}
+        for name, report in self.reports.items():
+            wish = self.book.wishes.get(name)
+            if wish is not None and wish.stage in (*COUNTED, Stage.WARMING):
+                continue
+            if now - report.at > STALE or self.gone(name):
+                found[name] = 1.0
+            elif report.warmth < 1.0:
+                found[name] = 1.0 - report.warmth
+        return found
+
+    def floor(self) -> Floor:
+        machines = [r.machine for r in self.reports.values()]
+        return Floor(machines, self.plan.needs, self.demand())
+
+    def step(self, now: float) -> None:
+        if now < self.look_at:
+            return
+        self.now = now
+        self.look_at = now + SHORT
+        leads = self.leads(now)
+        if leads and not self.led:
+            self.begin(now)
+        self.led = leads
+        if not leads:
+            return
+        self.peak = max(self.peak * FADE, self.asked_for())
+        wishes, book = self.book.wishes, self.book
+        for wish in list(wishes.values()):
+            self.see(wish, now)
+        if now - self.since < SETTLE or not wishes:
+            self.why = "the leader is new: it listens first" if wishes else ""
+            return
+        floor, lost = self.floor(), self.lost(now)
+        out = {n: w.out() for n, w in wishes.items() if w.out() > 0.0} | lost
+        self.why = book.held or floor.broken(out)
+        if self.why:
+            for name in taken_back(wishes, floor, lost) if not book.held else []:
+                self.asked.setdefault(f"back {name} {wishes[name].number}", now)
+            return
+        for key in [k for k in self.asked if k.startswith("back ")]:
+            del self.asked[key]  # it may be used again
+        verdict = worse(self.touched, self.rest) if self.plan.rings else ""
+        if verdict:
+            self.why = verdict
+            self.put("hold", command("hold", f"stopped by itself: {verdict}"), now)
+            return
+        if now - self.hopeless_at >= HOPELESS:
+            self.hopeless_at = now
+            for wish in [w for w in wishes.values() if w.stage is Stage.WISHED]:
+                why = hopeless(wish, floor, self.wall())
+                if why:
+                    self.move(wish, Stage.REFUSED, why, now)
+        if not wishes:
+            return  # the last ones were refused just now
+        oldest = min(w.since for w in wishes.values()) - 1000.0  # wishes of one call are as old
+        done = sum(1 for e in book.history if e.end == Stage.DONE.value and e.since >= oldest)
+        room = 1 << 30
+        if self.plan.rings:
+            room = max(0, allowed(done) - done - sum(w.stage not in (Stage.WISHED,) for w in wishes.values()))
+        for name in next_ones(wishes, floor, lost, self.wall(), self.plan.back)[:room]:
+            report = self.reports.get(name)
+            if report is not None:
+                self.put(f"permit {name}", command("permit", name, report.run, now), now)
+
+    def see(self, wish: Wish, now: float) -> None:
+        """What goes on without a word from its machine."""
+        report = self.reports.get(wish.name)
+        if wish.stage is Stage.DRAINING and (
+            self.gone(wish.name) or report is None or now - report.at > STALE
+        ):
+            self.move(wish, Stage.OUT, "", now)
+        elif wish.stage is Stage.PERMITTED and self.void(wish, report, now):
+            self.move(wish, Stage.WISHED, "its permission ran out unused", now)
+        elif wish.stage is Stage.WARMING and (report is None or now - report.at > STALE):
+            wish.warmth = 0.0
+            if now - self.since > SETTLE and (report is None or self.gone(wish.name)):
+                self.move(wish, Stage.OUT, "it crashed while it warmed", now)
+
+    def void(self, wish: Wish, report: Report | None, now: float) -> bool:
+        """Whether a permission can't be used any more, by its machine's clock either, whoever offered it.
+
+        It must have said after that that it stays; one that is silent counts as out until it speaks.
+        """
+        offered = max(self.since, report.offered_at if report is not None else -1e9)
+        end = offered + self.plan.lasts * (1.0 + UNEVEN) + self.plan.spare
+        if report is None or now - report.at > STALE:
+            return False  # it may have left: its disk says so once it is back
+        return report.at > end and report.going != wish.number
--- /dev/null
+++ b/landingshift/upkeep/order.py
@@ -0,0 +1,175 @@
+"""Who goes next: greedy for any size, exact by search for a few, the least time of any order. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from itertools import combinations
+
+from landingshift.upkeep.floor import Floor
+from landingshift.upkeep.wishes import COUNTED, Stage, Wish
+
+EXACT = 8  # machines up to which all orders are gone through
+
+
+def weight(wish: Wish, now: float, back: float) -> float:
+    """Urgent and long-waiting ones first; of those alike, what is back soonest."""
+    waited = (now - wish.since) / 60_000.0 + 1.0
+    return wish.urgency * waited / (wish.minutes + back)
+
+
+def next_ones(
+    wishes: dict[str, Wish],
+    floor: Floor,
+    lost: dict[str, float],
+    now: float,
+    back: float = 1.0,
+    most: int = 1000,
+) -> list[str]:
+    """Names that may go now, the first first. `lost`: what is out unasked; `back`: minutes until one is warm.
+
+    Nobody goes while the floor does not hold. A group goes whole or waits; one that must be alone goes only
+    where nobody is out, and holds the others back once it has waited longest.
+    """
+    out = {n: w.out() for n, w in wishes.items() if w.out() > 0.0} | lost
+    if floor.broken(out):
+        return []
+    able = [w for w in wishes.values() if w.stage is Stage.WISHED and w.not_before <= now < w.not_after]
+    able = [w for w in able if w.name not in lost and w.name in floor.machines]
+    if any(w.alone and w.out() > 0.0 for w in wishes.values()):
+        return []
+    chosen: list[str] = []
+    zones: dict[str, int] = {}
+    for name in out:
+        machine = floor.machines.get(name)
+        if machine is not None:
+            zones[machine.zone] = zones.get(machine.zone, 0) + 1
+    weights = {w.name: weight(w, now, back) for w in able}
+    line = sorted(able, key=lambda w: (-weights[w.name], w.name))
+    margins = floor.margins(out)
+    while line and len(chosen) < most:
+        if margins[0] < min(floor.machines[w.name].capacity for w in line) - 1e-9:
+            break  # no room for any of them
+        # Zones in turn among those that weigh alike: the one with fewest out.
+        enough = 0.999 * weights[line[0].name]
+        alike = [w for w in line if weights[w.name] >= enough]
+        first = min(alike, key=lambda w: (zones.get(floor.machines[w.name].zone, 0), w.name))
+        line.remove(first)
+        those = [first]
+        if first.group:
+            those += [w for w in line if w.group == first.group]
+            line = [w for w in line if w.group != first.group]
+        if first.alone and (out or chosen):
+            if weights[first.name] >= max((weights[w.name] for w in line), default=0.0):
+                break  # its turn: the rest waits, so that it is not passed over for ever
+            continue
+        after = floor.also(margins, out, [w.name for w in those])
+        if after is None:
+            continue
+        margins = after
+        out = out | {w.name: 1.0 for w in those}
+        chosen += [w.name for w in those]
+        for w in those:
+            zone = floor.machines[w.name].zone
+            zones[zone] = zones.get(zone, 0) + 1
+        if first.alone:
+            break
+    return chosen
+
+
+def hopeless(wish: Wish, floor: Floor, now: float) -> str:
+    """Why a wish can never be met, so that it is refused and not left hanging."""
+    if wish.name not in floor.machines:
+        return "there is no such machine"
+    if now >= wish.not_after:
+        return "its time is over"
+    return floor.never(wish.name)
+
+
+def taken_back(wishes: dict[str, Wish], floor: Floor, lost: dict[str, float]) -> list[str]:
+    """Permissions to be taken back, the youngest first, until the floor holds; who drains goes on."""
+    out = {n: w.out() for n, w in wishes.items() if w.out() > 0.0} | lost
+    back: list[str] = []
+    permitted = sorted((w for w in wishes.values() if w.stage is Stage.PERMITTED), key=lambda w: -w.number)
+    for wish in permitted:
+        if not floor.broken(out):
+            break
+        out.pop(wish.name, None)
+        back.append(wish.name)
+    return back
+
+
+def rounds(names: list[str], floor: Floor) -> int:
+    """Fewest rounds in which all can go, each of the same length: exact, for up to EXACT machines."""
+    if len(names) > EXACT:
+        raise ValueError(f"{len(names)} machines are too many to go through all orders")
+    whole = (1 << len(names)) - 1
+    good = [
+        sum(1 << i for i in some)
+        for size in range(1, len(names) + 1)
+        for some in combinations(range(len(names)), size)
+        if not floor.broken({names[i]: 1.0 for i in some})
+    ]
+    reached, count = {0}, 0
+    while whole not in reached:
+        more = {had | some for had in reached for some in good} - reached
+        if not more:
+            return -1
+        reached |= more
+        count += 1
+    return count
+
+
+def greedy_rounds(names: list[str], floor: Floor) -> int:
+    """The same by `next_ones`; -1 where some can never go."""
+    left, count = dict.fromkeys(names), 0
+    while left:
+        wishes = {n: Wish(n, 1.0, 0.0) for n in left}
+        some = next_ones(wishes, floor, {}, 0.0)
+        if not some:
+            return -1
+        for name in some:
+            del left[name]
+        count += 1
+    return count
+
+
+def least_ms(floor_at: Callable[[float], Floor], away: float, step: float = 60_000.0) -> float:
+    """ms before which no order can have all out for `away` ms each: of each limit the room adds up to what
+    its machines need. A bound from below: machines are taken for divisible."""
+    first = floor_at(0.0)
+    need = [first.capacity({}, limit.of) * away for limit in first.limits]
+    now = 0.0
+    while any(left > 0.0 for left in need) and now < 1e9:
+        margins = floor_at(now).margins({})
+        need = [left - max(0.0, room) * step for left, room in zip(need, margins, strict=True)]
+        now += step
+    return now
+
+
+def dry_run(
+    wishes: dict[str, Wish], floor: Floor, lost: dict[str, float], back: float
+) -> tuple[list[tuple[str, float, float]], float]:
+    """Names, the minutes at which each goes and is warm again at this demand; and the least capacity."""
+    left = {n: replace(w, not_before=0.0) for n, w in wishes.items() if w.stage is Stage.WISHED}
+    away: dict[str, float] = {n: w.minutes + back for n, w in wishes.items() if w.out() > 0.0}
+    now, found = 0.0, []
+    whole = floor.limits[0].of
+    least = floor.capacity(lost | dict.fromkeys(away, 1.0), whole)
+    while left:
+        out = lost | dict.fromkeys(away, 1.0)
+        chosen = next_ones(left, floor, out, min(w.since for w in left.values()), back)
+        for name in chosen:
+            end = now + left.pop(name).minutes + back
+            found.append((name, now, end))
+            away[name] = end
+        least = min(least, floor.capacity(lost | dict.fromkeys(away, 1.0), whole))
+        if not away or not left:
+            break
+        now = min(away.values())
+        away = {n: end for n, end in away.items() if end > now}
+    return found, least
+
+
+def counted(wishes: dict[str, Wish]) -> int:
+    return sum(w.stage in COUNTED for w in wishes.values())
--- /dev/null
+++ b/landingshift/upkeep/service.py
@@ -0,0 +1,302 @@
+"""Upkeep on the server's loop: reports to the leader, the way out by the drain, and the leader's own work."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+from random import Random
+from typing import TYPE_CHECKING, Any, Protocol, cast
+
+from landingshift import points
+from landingshift.fleet.messages import GONE, Record
+from landingshift.fleet.service import Fleet
+from landingshift.net.transport.loop import Timer
+from landingshift.upkeep.book import NAME, Book, command
+from landingshift.upkeep.floor import Machine
+from landingshift.upkeep.foreman import Foreman
+from landingshift.upkeep.order import dry_run
+from landingshift.upkeep.settings import Settings, plan
+from landingshift.upkeep.wishes import Leave, Stage
+
+if TYPE_CHECKING:
+    from landingshift.net.program.features import Host
+    from landingshift.net.routing.records import Routed
+
+ROOM = "upkeep"
+REST = 2000.0  # ms between two reports of one that nobody wants out
+BUSY = 500.0
+WIDTH = 1000.0  # ms over which RPCs are counted
+MOST = 500  # machines in one call
+
+
+class Agreement(Protocol):
+    """What keeps the book: the service of another room."""
+
+    is_voter: bool
+    leader: str
+    voters: list[str]
+
+    def keep(self, name: str, book: Any, taken: Any) -> None: ...
+    def propose(self, data: bytes) -> bool: ...
+    def leads(self) -> bool: ...
+
+
+class Upkeep:
+    name = "upkeep"
+
+    def __init__(self, host: Host, settings: Settings) -> None:
+        fleet = host.services["fleet"]
+        assert isinstance(fleet, Fleet)
+        self.fleet, self.node, self.log = fleet, fleet.node, host.log
+        self.agreement = cast(Agreement, host.services["policies"])
+        self.router, self.loop, self.settings = host.router, host.router.loop, settings
+        self.chance = Random(f"{self.router.site.seed} upkeep {self.router.site.name}")
+        self.leave = Leave()
+        self.going, self.stage, self.did = 0, "", self.marked()
+        self.number = 0
+        self.sent: dict[int, float] = {}
+        self.reads, self.ok, self.all = 0, 0.0, 0.0
+        self.load, self.load_at = 0.0, self.loop.now
+        self.book = Book()
+        self.foreman: Foreman | None = None
+        if self.agreement.is_voter:
+            self.agreement.keep(NAME, self.book, self.taken)
+            self.foreman = Foreman(
+                self.book, plan(settings), self.agreement.propose, lambda _: self.agreement.leads(),
+                self.gone, points.wall, self.log,
+            )  # fmt: skip
+            fleet.talk.calls |= {
+                "upkeep_ask": self.ask, "upkeep_cancel": self.cancel, "upkeep_hold": self.hold,
+                "upkeep_status": self.status, "upkeep_plan": self.plan, "upkeep_history": self.history,
+            }  # fmt: skip
+        fleet.talk.calls["upkeep_here"] = self.here
+        self.node.rooms[ROOM] = self.hear
+        self.router.taps.add(self)
+        self.timer: Timer | None = self.loop.after(REST * self.chance.random(), self.tick)
+
+    # What it serves
+
+    def read(self, _rpc: Routed) -> None:
+        self.reads += 1
+
+    def answered(self, _rpc: Routed, how: str) -> None:
+        self.all += 1.0
+        self.ok += how == "ok"
+
+    def warmth(self) -> float:
+        """Of the module's cores, once it serves at all."""
+        server = self.router.server
+        if server is None or not self.router.health_state.reporting:
+            return 0.0
+        cold = server.set.cold_time if server.set.cold else 0.0
+        return min(1.0, (self.loop.now - server.born) / cold) if cold else 1.0
+
+    # Its reports
+
+    def tick(self) -> None:
+        now = self.loop.now
+        if now - self.load_at >= WIDTH:
+            self.load, self.reads, self.load_at = self.reads * 1000.0 / (now - self.load_at), 0, now
+        self.report()
+        if self.foreman is not None:
+            self.foreman.step(self.loop.clock())
+        wait = BUSY if self.stage or (self.foreman is not None and self.book.wishes) else REST
+        self.loop.cancel(self.timer)
+        self.timer = self.loop.after(wait * self.chance.uniform(0.9, 1.1), self.tick)
+        self.fleet.pass_on()
+
+    def report(self) -> None:
+        self.number += 1
+        self.sent = {n: at for n, at in self.sent.items() if n > self.number - 16} | {
+            self.number: self.loop.clock()
+        }
+        mine = self.settings
+        body = [
+            "at", self.number, mine.capacity, mine.model, mine.best, self.warmth(), self.load, self.going,
+            self.did, self.ok, self.all,
+        ]  # fmt: skip
+        leader = self.agreement.leader
+        if leader == self.node.me.name:
+            self.hear(self.node.me, body)
+        elif leader:
+            self.node.say(leader, ROOM, body)
+
+    def hear(self, sender: Record, body: list[Any]) -> None:
+        now = self.loop.clock()
+        match body:
+            case ["at", int(number), float(capacity), str(model), bool(best), *rest]:
+                if self.foreman is None or not 0.0 < capacity < 1e9 or len(model) > 16:
+                    return
+                voter = sender.name in self.agreement.voters
+                machine = Machine(sender.name, capacity, sender.zone, model, best, voter)
+                answer = self.foreman.hear(machine, sender.run, rest, now)
+                if answer is None:
+                    return
+                if sender.name == self.node.me.name:
+                    self.told(number, *answer)
+                else:
+                    self.node.say(sender.name, ROOM, ["told", number, *answer])
+            case ["told", int(number), str(stage), int(permission), float(lasts)]:
+                self.told(number, stage, permission, lasts)
+
+    def told(self, number: int, stage: str, permission: int, lasts: float) -> None:
+        asked = self.sent.pop(number, None)
+        if asked is None:
+            return
+        self.stage = stage
+        if lasts > 0.0 and not self.going and self.leave.granted(permission, asked, lasts):
+            points.reach("upkeep.permitted")
+            self.go()
+
+    def go(self) -> None:
+        """Leaves, if its permission still holds by its own clock just now."""
+        if self.router.draining or not self.leave.may_go(self.loop.clock()):
+            self.log("upkeep_late", number=self.leave.number)
+            return
+        self.going = self.leave.number
+        self.leave.used()
+        self.write_mark()
+        points.note("left", self.node.me.name, self.going)
+        self.log("upkeep_leaves", number=self.going)
+        self.report()
+        self.fleet.pass_on()
+        points.reach("upkeep.draining")
+        self.router.drain()
+
+    def marked(self) -> int:
+        """The permission by which its earlier run left; 0 where nothing says so."""
+        try:
+            with open(self.settings.mark) as file:
+                name, number = file.read(64).split()
+            return int(number) if name == self.router.site.name else 0
+        except (OSError, ValueError):
+            return 0
+
+    def write_mark(self) -> None:
+        if not self.settings.mark:
+            return
+        try:
+            with open(self.settings.mark + ".new", "w") as file:
+                file.write(f"{self.node.me.name} {self.going}\n")
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(self.settings.mark + ".new", self.settings.mark)
+        except OSError as err:  # at worst the work is asked for once more
+            self.log("upkeep_unmarked", error=str(err))
+
+    def gone(self, name: str) -> bool:
+        record = self.node.members.get(name)
+        return record is None or record.state in GONE
+
+    def taken(self, now: float) -> None:
+        """Entries were taken: what follows from them need not wait."""
+        if self.foreman is not None:
+            self.foreman.look_at = min(self.foreman.look_at, now)
+
+    # For operators; on voters, and what changes something on their leader
+
+    def lead(self) -> Foreman:
+        if self.foreman is None or not self.agreement.leads():
+            raise ValueError(f"it does not lead: ask {self.agreement.leader or 'a voter'}")
+        return self.foreman
+
+    def ask(self, params: list[Any]) -> int:
+        """[[name, minutes, urgency, not_before, not_after, alone, group], ...]; how many are asked for."""
+        self.lead()
+        now, rows = points.wall(), []
+        if not 0 < len(params) <= MOST:
+            raise ValueError(f"1 to {MOST} machines are expected")
+        for row in params:
+            match row:
+                case [
+                    str(name),
+                    float(minutes),
+                    float(urgency),
+                    float(before),
+                    float(after),
+                    bool(alone),
+                    str(group),
+                ]:
+                    if not 0 < len(name) <= 32 or not 0.0 < minutes <= 1e5 or not 0.0 < urgency <= 100.0:
+                        raise ValueError(f"{name[:32]}: minutes to 100000 and an urgency to 100 are expected")
+                    rows.append([name, minutes, now, urgency, before, after, alone, group[:32]])
+                case _:
+                    raise ValueError("a row is name, minutes, urgency, not_before, not_after, alone, group")
+        if not self.agreement.propose(command("wish", rows)):
+            raise ValueError("the agreement takes nothing just now")
+        return len(rows)
+
+    def cancel(self, params: list[Any]) -> int:
+        """[why, name, ...]; how many of them could still be cancelled."""
+        self.lead()
+        why, *names = [str(p) for p in params] or [""]
+        count = 0
+        for name in names[:MOST]:
+            wish = self.book.wishes.get(name)
+            if wish is not None and wish.stage is Stage.WISHED:
+                data = command("move", name, wish.number, Stage.CANCELLED.value, why[:300], points.wall())
+                count += self.agreement.propose(data)
+        return count
+
+    def hold(self, params: list[Any]) -> bool:
+        """[why]: nobody is let go from now on; [""]: somebody is again."""
+        self.lead()
+        match params:
+            case [str(why)]:
+                return self.agreement.propose(command("hold", why[:300]))
+        raise ValueError("a reason is expected, or nothing to go on")
+
+    def status(self, _params: list[Any]) -> dict[str, Any]:
+        foreman = self.foreman
+        assert foreman is not None
+        now = self.loop.clock()
+        rows = [
+            {
+                "name": w.name, "stage": w.stage.value, "number": w.number, "minutes": w.minutes,
+                "urgency": w.urgency, "out": round(w.out(), 2), "why": w.why,
+            }
+            for w in self.book.wishes.values()
+        ]  # fmt: skip
+        found: dict[str, Any] = {"leads": self.agreement.leads(), "held": self.book.held, "wishes": rows}
+        if found["leads"]:
+            floor = foreman.floor()
+            out = {n: w.out() for n, w in self.book.wishes.items() if w.out()} | foreman.lost(now)
+            found |= {
+                "machines": len(foreman.reports), "demand": foreman.demand(), "room": floor.room(out),
+                "lost": sorted(foreman.lost(now)), "waits_for": foreman.why,
+            }  # fmt: skip
+        return found
+
+    def plan(self, _params: list[Any]) -> dict[str, Any]:
+        """Who would go when, at the demand of now."""
+        foreman = self.lead()
+        floor, lost = foreman.floor(), foreman.lost(self.loop.clock())
+        steps, least = dry_run(self.book.wishes, floor, lost, foreman.plan.back)
+        return {"steps": [list(s) for s in steps], "least_capacity": least, "floor": floor.limits[0].least}
+
+    def history(self, _params: list[Any]) -> list[dict[str, Any]]:
+        return [
+            {"name": e.name, "end": e.end, "why": e.why, "since": e.since, "at": e.at, "number": e.number}
+            for e in self.book.history
+        ]
+
+    def here(self, _params: list[Any]) -> dict[str, Any]:
+        """What this server knows of its own part."""
+        return {
+            "name": self.node.me.name, "stage": self.stage, "going": self.going, "warmth": self.warmth(),
+            "load": self.load, "leader": self.agreement.leader,
+        }  # fmt: skip
+
+    def finish(self) -> None:
+        """Drained. With a permission, the operator's work is done now, in a process of its own."""
+        if not self.going or not self.settings.work:
+            return
+        try:
+            done = subprocess.run(self.settings.work, timeout=self.settings.work_s, stdin=subprocess.DEVNULL)
+            self.log("upkeep_worked", number=self.going, status=done.returncode)
+        except (OSError, subprocess.TimeoutExpired) as err:
+            self.log("upkeep_work_failed", number=self.going, error=str(err))
+
+
+def attach(host: Host, settings: Settings) -> Upkeep:
+    return Upkeep(host, settings)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from landingshift.policies.agreement import (
+from landingshift.agreement.voter import (
     LONGEST,
     SURE,
     VOTERS,
--- a/tests/test_agreement_journal.py
+++ b/tests/test_agreement_journal.py
@@ -11,8 +11,8 @@
 
 from landingshift import points
 from landingshift.policies import journal as journals
-from landingshift.policies.agreement import Entry, Stored
-from landingshift.policies.journal import BadJournal, Journal
+from landingshift.agreement.voter import Entry, Stored
+from landingshift.agreement.journal import BadJournal, Journal
 
 
 def changed(stored: Stored, chance: Random) -> Stored:
--- /dev/null
+++ b/tests/test_upkeep.py
@@ -0,0 +1,208 @@
+"""Work on machines: floors, stages, permissions, the order, rings, the book; days in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from landingshift.agreement.shelf import Shelf, entry
+from landingshift.lab.upkeep import VIRTUAL, virtual
+from landingshift.upkeep.book import Book, command
+from landingshift.upkeep.floor import Floor, Machine, Needs
+from landingshift.upkeep.order import dry_run, hopeless, next_ones, taken_back
+from landingshift.upkeep.rings import Served, allowed, worse
+from landingshift.upkeep.wishes import MOVES, BadMove, Leave, Stage, Wish
+
+NONE = Needs(0.0, 0.0, 0.0, 0.0)
+
+
+def fleet(count: int, **how: Any) -> list[Machine]:
+    return [Machine(f"n{i}", 100.0, f"z{i % 2}", f"m{i % 3}", **how) for i in range(count)]
+
+
+def wishes(*names: str, **how: Any) -> dict[str, Wish]:
+    return {n: Wish(n, 10.0, 0.0, **how) for n in names}
+
+
+class Floors(unittest.TestCase):
+    def test_what_may_be_out(self) -> None:
+        voters = [Machine(f"n{i}", 100.0, voter=i < 5) for i in range(8)]
+        for machines, needs, demand, out, broken in [
+            (fleet(6), NONE, 500.0, {"n0": 1.0}, ""),
+            (fleet(6), NONE, 500.0, {"n0": 1.0, "n1": 0.5}, "the whole: 450 of 500"),
+            (fleet(6), Needs(0.1, 0.0, 0.0, 0.0), 500.0, {"n0": 1.0}, "the whole: 500 of 550"),
+            (fleet(6), Needs(0.0, 0.5, 0.0, 0.0), 0.0, {"n0": 1.0, "n2": 1.0}, "zone z0: 100 of 150"),
+            (fleet(6), Needs(0.0, 0.0, 0.6, 0.0), 0.0, {"n0": 1.0}, "model m0: 100 of 120"),
+            (
+                fleet(6, best=True),
+                Needs(0.0, 0.0, 0.0, 0.9),
+                0.0,
+                {"n0": 1.0},
+                "the best methods: 500 of 540",
+            ),
+            (voters, NONE, 0.0, {"n0": 1.0, "n7": 1.0}, ""),
+            (voters, NONE, 0.0, {"n0": 1.0, "n1": 1.0}, "voters: 3 of 4"),  # a majority, and none to spare
+        ]:
+            with self.subTest(out=out, needs=needs):
+                self.assertEqual(Floor(machines, needs, demand).broken(out), broken)
+
+    def test_margins_of_a_few_say_the_same_as_all(self) -> None:
+        floor = Floor(fleet(8), Needs(0.0, 0.5, 0.3, 0.0), 300.0)
+        for out, names in [
+            ({}, ["n0", "n2"]),
+            ({"n1": 1.0}, ["n3", "n5"]),
+            ({"n0": 0.5}, ["n0"]),
+            ({}, ["n0", "n2", "n4"]),
+        ]:
+            after = floor.also(floor.margins(out), out, names)
+            self.assertEqual(after is None, bool(floor.broken(out | dict.fromkeys(names, 1.0))))
+
+
+class Stages(unittest.TestCase):
+    def test_only_the_moves_of_the_table(self) -> None:
+        for of in Stage:
+            for to in Stage:
+                wish = Wish("n0", 1.0, 0.0, stage=of, number=3)
+                if (of, to) in MOVES:
+                    wish.move(to, 3)
+                    self.assertIs(wish.stage, to)
+                else:
+                    with self.assertRaises(BadMove):
+                        wish.move(to, 3)
+
+    def test_a_machine_moves_by_the_permission_in_force_only(self) -> None:
+        wish = Wish("n0", 1.0, 0.0, stage=Stage.PERMITTED, number=4)
+        with self.assertRaises(BadMove):
+            wish.move(Stage.DRAINING, 3)
+        wish.move(Stage.DRAINING, 4)
+
+    def test_a_permission_ends_by_the_machines_own_clock(self) -> None:
+        leave = Leave()
+        self.assertFalse(leave.may_go(0.0))
+        self.assertTrue(leave.granted(5, 100.0, 1000.0))
+        self.assertTrue(leave.may_go(1099.0))
+        self.assertFalse(leave.may_go(1100.0))  # it stood still past the end
+        self.assertTrue(leave.granted(5, 2000.0, 1000.0))  # offered again
+        self.assertTrue(leave.may_go(2500.0))
+        self.assertFalse(leave.granted(4, 2600.0, 1000.0))  # delivered late
+        leave.used()
+        self.assertFalse(leave.granted(5, 2700.0, 1000.0))  # delivered twice
+        self.assertFalse(leave.may_go(2750.0))
+
+
+class Order(unittest.TestCase):
+    def test_who_goes_next(self) -> None:
+        for machines, wanted, lost, names in [
+            (fleet(4), wishes("n0", "n1", "n2"), {}, ["n0", "n1"]),  # two of four, zones in turn
+            (fleet(4), wishes("n0", "n2", "n1"), {}, ["n0", "n1"]),
+            (fleet(4), wishes("n0", "n1") | wishes("n2", urgency=2.0), {}, ["n2", "n1"]),
+            (fleet(4), wishes("n0", "n1"), {"n3": 1.0}, ["n0"]),  # a crash takes from the same allowance
+            (fleet(4), wishes("n0", "n1"), {"n2": 1.0, "n3": 1.0}, []),
+            (fleet(4), wishes("n0", "n1", "n2", group="g"), {}, []),  # whole or not at all
+            (fleet(4), wishes("n0", "n1", group="g"), {}, ["n0", "n1"]),
+            (fleet(4), wishes("n0", alone=True, urgency=2.0) | wishes("n1"), {}, ["n0"]),
+            (fleet(4), wishes("n0", not_before=5.0), {}, []),
+            (fleet(4), wishes("n9"), {}, []),
+        ]:
+            with self.subTest(wanted=list(wanted), lost=lost):
+                found = next_ones(wanted, Floor(machines, NONE, 200.0), lost, 1.0)
+                self.assertEqual(found, names)
+
+    def test_one_who_must_be_alone_is_not_passed_over_for_ever(self) -> None:
+        wanted = wishes("n0", alone=True, urgency=2.0) | wishes("n1", "n2")
+        wanted["n2"].stage = Stage.OUT
+        self.assertEqual(next_ones(wanted, Floor(fleet(4), NONE, 100.0), {}, 1.0), [])
+
+    def test_what_can_never_be_met_is_refused_and_what_can_later_is_not(self) -> None:
+        floor = Floor(fleet(4), Needs(0.0, 0.9, 0.0, 0.0), 0.0)
+        self.assertIn("zone z0", hopeless(Wish("n0", 1.0, 0.0), floor, 0.0))
+        self.assertIn("no such machine", hopeless(Wish("x", 1.0, 0.0), floor, 0.0))
+        self.assertIn("over", hopeless(Wish("n0", 1.0, 0.0, not_after=5.0), floor, 6.0))
+        busy = Floor(fleet(4), NONE, 400.0)  # no room at this demand: it waits
+        self.assertEqual(hopeless(Wish("n0", 1.0, 0.0), busy, 0.0), "")
+
+    def test_under_overload_the_youngest_permissions_are_taken_back_and_no_drain(self) -> None:
+        wanted = wishes("n0", "n1", "n2")
+        for number, (wish, stage) in enumerate(
+            zip(wanted.values(), (Stage.DRAINING, Stage.PERMITTED, Stage.PERMITTED), strict=True), 1
+        ):
+            wish.stage, wish.number = stage, number
+        self.assertEqual(taken_back(wanted, Floor(fleet(4), NONE, 200.0), {}), ["n2"])
+        self.assertEqual(taken_back(wanted, Floor(fleet(4), NONE, 400.0), {}), ["n2", "n1"])
+
+    def test_a_dry_run_ends_and_keeps_the_floor(self) -> None:
+        steps, least = dry_run(wishes(*[f"n{i}" for i in range(6)]), Floor(fleet(6), NONE, 400.0), {}, 1.0)
+        self.assertEqual((len(steps), max(end for _, _, end in steps), least), (6, 33.0, 400.0))
+
+
+class Rings(unittest.TestCase):
+    def test_sizes_and_verdict(self) -> None:
+        self.assertEqual([allowed(n) for n in (0, 1, 4, 5, 24)], [1, 5, 5, 25, 25])
+        self.assertGreater(allowed(25), 1000)
+        for touched, rest, bad in [
+            ((975, 1000), (9900, 10_000), True), ((988, 1000), (9900, 10_000), False),
+            ((100, 190), (9900, 10_000), False), ((1000, 1000), (9000, 10_000), False),
+        ]:  # fmt: skip
+            self.assertEqual(bool(worse(Served(*touched), Served(*rest))), bad, (touched, rest))
+
+
+class Books(unittest.TestCase):
+    def test_one_permission_one_holder_and_numbers_only_grow(self) -> None:
+        book = Book()
+        row = [1.0, 0.0, 1.0, 0.0, 1e300, False, ""]
+        for data in [
+            command("wish", [["a", *row], ["b", *row]]), command("permit", "a", 7, 0.0),
+            command("permit", "a", 8, 0.0), command("permit", "b", 9, 0.0), command("permit", "c", 9, 0.0),
+            command("move", "a", 1, "draining", "", 0.0), command("move", "a", 9, "out", "", 0.0),
+            command("move", "b", 2, "done", "", 0.0), command("move", "b", 2, "wished", "taken back", 0.0),
+            command("permit", "b", 9, 0.0), command("hold", "stop"),
+        ]:  # fmt: skip
+            book.apply(data)
+        self.assertEqual({n: (w.stage, w.number) for n, w in book.wishes.items()},
+                         {"a": (Stage.DRAINING, 1), "b": (Stage.PERMITTED, 3)})  # fmt: skip
+        self.assertEqual((book.runs, book.number, book.held), ({"a": 7, "b": 9}, 3, "stop"))
+        again = Book()
+        again.load(book.dump())
+        self.assertEqual(again.dump(), book.dump())
+
+    def test_a_shelf_keeps_what_is_of_books_that_are_not_here(self) -> None:
+        class Plain:
+            def __init__(self) -> None:
+                self.had: list[bytes] = []
+
+            def apply(self, data: bytes) -> None:
+                self.had.append(data)
+
+            def dump(self) -> bytes:
+                return b"|".join(self.had)
+
+            def load(self, state: bytes) -> None:
+                self.had = state.split(b"|") if state else []
+
+        full, half = Shelf(), Shelf()
+        for shelf in (full, half):
+            shelf.add("first", Plain())
+        full.add("other", Plain())
+        for word in range(3):
+            for shelf in (full, half):
+                shelf.apply(entry("other", word))
+                shelf.apply(b"")
+        late = Shelf()
+        late.add("first", Plain())
+        late.load(half.dump())
+        other = Plain()
+        late.add("other", other)
+        self.assertEqual(other.had, [entry("other", word) for word in range(3)])
+
+
+class Days(unittest.TestCase):
+    def test_rows(self) -> None:
+        for name in VIRTUAL:
+            with self.subTest(name=name):
+                row = virtual(name, 15, 1, "")
+                self.assertEqual(row.broken, [], row.figures)
+
+    def test_each_defence_is_missed(self) -> None:
+        for away, row in [("floor", "floor_kept"), ("end", "drawn")]:
+            with self.subTest(away=away):
+                self.assertNotEqual(virtual(row, 15, 1, away).broken, [])
--- /dev/null
+++ b/tests/test_upkeep_service.py
@@ -0,0 +1,107 @@
+"""Work on machines among several real processes, with faults between them; rows of the experiment."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from landingshift.lab import MEMORY
+from landingshift.lab.rows import Row
+from landingshift.lab.upkeep_real import REAL, Yard
+from tests.test_fleet_service import refused
+
+SERVERS = 6
+ABREAST = 4
+COMMAND = [sys.executable, "-c", "from landingshift.cli import start; start()", "upkeep"]
+
+
+def run_row(name: str) -> Row:
+    row = Row(name)
+    with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
+        REAL[name](folder, SERVERS, 1, row)
+    return row
+
+
+class Rows(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        pool = ThreadPoolExecutor(ABREAST)
+        cls.addClassCleanup(pool.shutdown)
+        cls.rows = {name: pool.submit(run_row, name) for name in REAL}
+
+    def holds(self, name: str) -> None:
+        row = self.rows[name].result()
+        self.assertEqual(row.broken, [], row.figures)
+
+    def test_two_operators_want_all_and_no_rpc_is_lost(self) -> None:
+        self.holds("real_all_replaced")
+
+    def test_one_that_nobody_wanted_crashes(self) -> None:
+        self.holds("real_crash_meanwhile")
+
+    def test_the_leader_dies_twice(self) -> None:
+        self.holds("real_leader_killed")
+
+    def test_one_stopped_past_its_permission_does_not_leave_on_it(self) -> None:
+        self.holds("real_stopped_past_the_end")
+
+    def test_a_leaving_one_is_cut_off(self) -> None:
+        self.holds("real_cut_off")
+
+    def test_the_permitted_one_dies_at_each_step(self) -> None:
+        self.holds("real_killed_at_each_step")
+
+    def test_one_never_comes_back(self) -> None:
+        self.holds("real_never_back")
+
+    def test_load_leaves_no_room(self) -> None:
+        self.holds("real_overloaded")
+
+    def test_a_change_of_policy_meanwhile(self) -> None:
+        self.holds("real_with_a_change")
+
+
+class OneYard(unittest.TestCase):
+    def command(self, *words: str, code: int = 0) -> str:
+        done = subprocess.run([*COMMAND, *words], capture_output=True, text=True, timeout=90)
+        self.assertEqual(done.returncode, code, done.stdout + done.stderr)
+        return done.stdout + done.stderr
+
+    def test_what_operators_do(self) -> None:
+        with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
+            yard = Yard(folder, 6, 1)
+            try:
+                yard.start_all()
+                at = ["--at", "{}:{}".format(*yard.rig.talks[5])]
+                self.assertIn("nobody is wanted", self.command("status", *at))
+                self.command("hold", "--why", "a trial", *at)
+                self.assertIn("2 are asked for", self.command("ask", "n4", "n5", "--minutes", "0.05", *at))
+                self.assertIn("wished", self.command("status", *at))
+                self.assertIn("least capacity", self.command("plan", *at))
+                self.assertIn("1 of 1 cancelled", self.command("cancel", "n4", "--why", "not now", *at))
+                self.command("resume", *at)
+                self.command("ask", "n5", "--minutes", "0.05", "--wait", "40", *at)
+                rows = json.loads(self.command("history", *at, "--json"))
+                self.assertEqual([(r["name"], r["end"]) for r in rows], [("n4", "cancelled"), ("n5", "done")])
+                self.assertIn("are to say which", self.command("ask", "--minutes", "1", *at, code=2))
+            finally:
+                yard.open = False
+                yard.rig.close()
+
+    def test_settings_that_cannot_be_used_are_named(self) -> None:
+        fleet = '[fleet]\nfleet = "lab"\nlisten = "127.0.0.1:0"\n'
+        policies = fleet + '[policies]\nvoters = ["a"]\n'
+        for text, said in [
+            (fleet + "[upkeep]\ncapacity = 9\n", "[upkeep] needs the table [policies]"),
+            (policies + "[upkeep]\n", "[upkeep] capacity: "),
+            (policies + "[upkeep]\ncapacity = 0\n", "[upkeep] capacity: "),
+            (policies + '[upkeep]\ncapacity = 9\nwork = ["true"]\n', "[upkeep] work: an absolute path"),
+            (policies + '[upkeep]\ncapacity = 9\nmark = "x"\n', "[upkeep] mark: an absolute path"),
+            (policies + "[upkeep]\ncapacity = 9\nzone_share = 2.0\n", "[upkeep] zone_share: "),
+        ]:
+            with self.subTest(text=text):
+                self.assertIn(f"ours.toml: {said}", refused(self, text))
