Rows of real processes: one way to play them for two experiments and their tests

Cause: lab/policy.py and lab/upkeep.py repeated the loop over runs, their tests the pool and its names.

--- a/landingshift/lab/policy.py
+++ b/landingshift/lab/policy.py
@@ -5,15 +5,12 @@
 
 from __future__ import annotations
 
-import tempfile
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
-from typing import Any
 
-from landingshift.lab import MEMORY
 from landingshift.lab.assent import Hall, address, play
 from landingshift.lab.promises import broken
-from landingshift.lab.rows import Row, must
+from landingshift.lab.rows import Row, many_real, must
 from landingshift.lab.search import Search
 from landingshift.agreement.voter import Role
 from landingshift.policies.part import ENDED
@@ -291,33 +288,6 @@
     return row
 
 
-def real(name: str, servers: int, runs: int, seed: int) -> Row:
-    from landingshift.lab.policy_real import REAL
-
-    row = Row(name)
-    for i in range(runs):
-        with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
-            found = Row(name)
-            REAL[name](folder, servers, seed + i, found)
-            row.broken += [f"seed {seed + i}: {text}" for text in found.broken]
-            row.runs += 1
-            merge(row.figures, found.figures)
-    return row
-
-
-def merge(had: dict[str, Any], new: dict[str, Any]) -> None:
-    """Counts are added up, of other figures the largest stays."""
-    for key, value in new.items():
-        if isinstance(value, dict):
-            merge(had.setdefault(key, {}), value)
-        elif isinstance(value, int) and key not in ("versions", "overlap_ms"):
-            had[key] = had.get(key, 0) + value
-        elif isinstance(value, int | float):
-            had[key] = max(had.get(key, 0), value)
-        else:
-            had[key] = value
-
-
 def experiment(
     repeats: int, seed: int, servers: int, away: str = "", only: str | None = None, count: int = 200
 ) -> Iterator[Row]:
@@ -334,4 +304,4 @@
 
         for name in REAL:
             if only in (None, name):
-                yield real(name, servers, repeats, seed)
+                yield many_real(name, REAL[name], servers, repeats, seed)
--- a/landingshift/lab/rows.py
+++ b/landingshift/lab/rows.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import tempfile
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from landingshift.lab import MEMORY
+
 
 @dataclass(slots=True)
 class Row:
@@ -25,3 +29,31 @@
 def must(row: Row, holds: bool, what: str) -> None:
     if not holds:
         row.broken.append(what)
+
+
+def many_real(
+    name: str, play: Callable[[str, int, int, Row], None], servers: int, runs: int, seed: int
+) -> Row:
+    """A row of real processes, played `runs` times in a folder of its own each."""
+    row = Row(name)
+    for i in range(runs):
+        with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
+            found = Row(name)
+            play(folder, servers, seed + i, found)
+            row.broken += [f"seed {seed + i}: {text}" for text in found.broken]
+            row.runs += 1
+            merge(row.figures, found.figures)
+    return row
+
+
+def merge(had: dict[str, Any], new: dict[str, Any]) -> None:
+    """Counts are added up, of other figures the largest stays."""
+    for key, value in new.items():
+        if isinstance(value, dict):
+            merge(had.setdefault(key, {}), value)
+        elif isinstance(value, int) and key not in ("versions", "overlap_ms"):
+            had[key] = had.get(key, 0) + value
+        elif isinstance(value, int | float):
+            had[key] = max(had.get(key, 0), value)
+        else:
+            had[key] = value
--- a/landingshift/lab/upkeep.py
+++ b/landingshift/lab/upkeep.py
@@ -6,15 +6,13 @@
 
 from __future__ import annotations
 
-import tempfile
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import cos, pi
 from random import Random
 from typing import Any
 
-from landingshift.lab import MEMORY
-from landingshift.lab.rows import Row, must
+from landingshift.lab.rows import Row, many_real, must
 from landingshift.upkeep.book import Book, command
 from landingshift.upkeep.floor import Floor, Machine, Needs
 from landingshift.upkeep.foreman import Foreman, Plan
@@ -284,18 +282,8 @@
         if only in (None, name):
             yield virtual(name, repeats, seed, away)
     if servers:
-        from landingshift.lab.policy import merge
         from landingshift.lab.upkeep_real import REAL
 
         for name in REAL:
-            if only not in (None, name):
-                continue
-            row = Row(name)
-            for i in range(repeats):
-                with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
-                    found = Row(name)
-                    REAL[name](folder, servers, seed + i, found)
-                    row.broken += [f"seed {seed + i}: {text}" for text in found.broken]
-                    row.runs += 1
-                    merge(row.figures, found.figures)
-            yield row
+            if only in (None, name):
+                yield many_real(name, REAL[name], servers, repeats, seed)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,15 +12,17 @@
 import threading
 import time
 import unittest
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import msgpack
 
 from landingshift.brain import Job, Server
 from landingshift.interface import Advert, Below, Effect, Gauges, Method, Rpc, Settings, Stopping
 from landingshift.lab import MEMORY
+from landingshift.lab.rows import Row, many_real
 
 METHOD = Method(Effect.IDEMPOTENT, 1000.0, 0.0, 3000.0, 1.0, 0.0, 5000.0, False, 0.0)
 SETTINGS = Settings(
@@ -340,3 +342,23 @@
                   "fall": 2000.0, "tip-multiple": 8.0},
     },
 }  # fmt: skip
+
+
+class RealRows(unittest.TestCase):
+    """Rows of an experiment with real processes, some at a time: they mostly wait."""
+
+    real: ClassVar[dict[str, Any]] = {}
+    servers: ClassVar[int] = 0
+    abreast: ClassVar[int] = 1
+    rows: ClassVar[dict[str, Future[Row]]] = {}
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        if cls.real:
+            pool = ThreadPoolExecutor(cls.abreast)
+            cls.addClassCleanup(pool.shutdown)
+            cls.rows = {n: pool.submit(many_real, n, play, cls.servers, 1, 1) for n, play in cls.real.items()}
+
+    def holds(self, name: str) -> None:
+        row = self.rows[name].result()
+        self.assertEqual(row.broken, [], row.figures)
--- a/tests/test_policies_service.py
+++ b/tests/test_policies_service.py
@@ -7,12 +7,11 @@
 import sys
 import tempfile
 import unittest
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from landingshift.lab import MEMORY
 from landingshift.lab.policy_real import REAL, Council
-from landingshift.lab.rows import Row
+from tests.helpers import RealRows
 from tests.test_fleet_service import refused
 
 SERVERS = 5
@@ -20,25 +19,10 @@
 COMMAND = [sys.executable, "-c", "from landingshift.cli import start; start()", "policy"]
 
 
-def run_row(name: str) -> Row:
-    row = Row(name)
-    with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
-        REAL[name](folder, SERVERS, 1, row)
-    return row
-
-
-class Rows(unittest.TestCase):
+class Rows(RealRows):
     """Each brings its failure about; what must hold afterwards is read off the history alone."""
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        pool = ThreadPoolExecutor(ABREAST)
-        cls.addClassCleanup(pool.shutdown)
-        cls.rows = {name: pool.submit(run_row, name) for name in REAL}
-
-    def holds(self, name: str) -> None:
-        row = self.rows[name].result()
-        self.assertEqual(row.broken, [], row.figures)
+    real, servers, abreast = REAL, SERVERS, ABREAST
 
     def test_three_changes_one_asked_twice(self) -> None:
         self.holds("real_without_faults")
--- a/tests/test_upkeep_service.py
+++ b/tests/test_upkeep_service.py
@@ -7,11 +7,10 @@
 import sys
 import tempfile
 import unittest
-from concurrent.futures import ThreadPoolExecutor
 
 from landingshift.lab import MEMORY
-from landingshift.lab.rows import Row
 from landingshift.lab.upkeep_real import REAL, Yard
+from tests.helpers import RealRows
 from tests.test_fleet_service import refused
 
 SERVERS = 6
@@ -19,23 +18,10 @@
 COMMAND = [sys.executable, "-c", "from landingshift.cli import start; start()", "upkeep"]
 
 
-def run_row(name: str) -> Row:
-    row = Row(name)
-    with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
-        REAL[name](folder, SERVERS, 1, row)
-    return row
+class Rows(RealRows):
+    """Each brings its failure about; what must hold afterwards is read off the history alone."""
 
-
-class Rows(unittest.TestCase):
-    @classmethod
-    def setUpClass(cls) -> None:
-        pool = ThreadPoolExecutor(ABREAST)
-        cls.addClassCleanup(pool.shutdown)
-        cls.rows = {name: pool.submit(run_row, name) for name in REAL}
-
-    def holds(self, name: str) -> None:
-        row = self.rows[name].result()
-        self.assertEqual(row.broken, [], row.figures)
+    real, servers, abreast = REAL, SERVERS, ABREAST
 
     def test_two_operators_want_all_and_no_rpc_is_lost(self) -> None:
         self.holds("real_all_replaced")
