--- a/tests/test_agreement_journal.py
+++ b/tests/test_agreement_journal.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from landingshift import points
-from landingshift.policies import journal as journals
+from landingshift.agreement import journal as journals
 from landingshift.agreement.voter import Entry, Stored
 from landingshift.agreement.journal import BadJournal, Journal
 
