Commands ask the leader in one way; state and names that nothing reads are gone

Cause: the last reading found the way to the agreement's leader written in cli/policy.py and again in cli/upkeep.py, each with its own copy of what cli/fleet.py does where there is no answer; an errand's answer, the part's time, shelf.EMPTY and order.counted were kept and read by nothing; the largest size of a policy stood a second time as a number. Change: from_leader and asked_of in cli/fleet.py serve all three groups; the unread is removed; the service takes LARGEST from document.py. Behaviour as before. Result: lint and types clean, 24 tests pass: both groups' commands against real processes, a follower's rules, the books, the order.

--- a/landingshift/agreement/shelf.py
+++ b/landingshift/agreement/shelf.py
@@ -10,7 +10,6 @@
 import msgspec
 
 MARK = "/"
-EMPTY = msgspec.msgpack.encode([])
 
 
 class Book(Protocol):
--- a/landingshift/cli/fleet.py
+++ b/landingshift/cli/fleet.py
@@ -40,7 +40,18 @@
 
 
 def asked(at: str | None, toml: str | None, call: str, params: list[Any] | None = None) -> Any:
-    to = server(at, toml)
+    return asked_of(server(at, toml), call, params)
+
+
+def from_leader(at: str | None, toml: str | None, call: str, params: list[Any] | None = None) -> Any:
+    """A call to the leader of the agreement that this server knows, else to itself."""
+    found = asked(at, toml, "policy_status")
+    to = address("leader", found["leader_at"]) if found["leader_at"] else server(at, toml)
+    return asked_of(to, call, params)
+
+
+def asked_of(to: tuple[str, int], call: str, params: list[Any] | None) -> Any:
+    """Ends with BROKEN and a word where there is no answer."""
     try:
         return ask(to, call, params or [])
     except NoAnswer as err:
--- a/landingshift/cli/policy.py
+++ b/landingshift/cli/policy.py
@@ -10,9 +10,8 @@
 
 import click
 
-from landingshift.cli.fleet import BROKEN, Told, asked, server, show, table, where
+from landingshift.cli.fleet import BROKEN, Told, asked, from_leader, server, show, table, where
 from landingshift.cli.main import say
-from landingshift.fleet.settings import address
 from landingshift.fleet.talk import NoAnswer, ask
 from landingshift.policies.document import BadPolicy, differs, flat, parse
 
@@ -33,21 +32,6 @@
         raise Told(f"{path}: {err}") from err
 
 
-def voter(at: str | None, toml: str | None) -> tuple[str, int]:
-    """A server that keeps the book: the leader that this one knows, else itself."""
-    found = asked(at, toml, "policy_status")
-    return address("leader", found["leader_at"]) if found["leader_at"] else server(at, toml)
-
-
-def from_voter(at: str | None, toml: str | None, call: str, params: list[Any]) -> Any:
-    to = voter(at, toml)
-    try:
-        return ask(to, call, params)
-    except NoAnswer as err:
-        click.echo(f"landingshift: {to[0]}:{to[1]}: {err}", err=True)
-        raise SystemExit(BROKEN) from err
-
-
 def bring(at: str | None, toml: str | None, id: str, what: list[Any], wait: float, as_json: bool) -> None:
     """Has it brought to the leader; with `wait` seconds, until it has ended."""
     if not asked(at, toml, "policy_do", [id, *what]):
@@ -117,7 +101,7 @@
     version: int, at: str | None, toml: str | None, as_json: bool, why: str, id_: str, wait: float
 ) -> None:
     """A new version that says what VERSION said."""
-    policy = from_voter(at, toml, "policy_text", [version])
+    policy = from_leader(at, toml, "policy_text", [version])
     id = id_ or f"back-{version}-{secrets.token_hex(4)}"
     bring(at, toml, id, ["propose", policy, getpass.getuser()[:64], why[:300]], wait, as_json)
 
@@ -203,7 +187,7 @@
 @where
 def history(at: str | None, toml: str | None, as_json: bool) -> None:
     """All changes that the voters keep, the newest last."""
-    rows = from_voter(at, toml, "policy_history", [])
+    rows = from_leader(at, toml, "policy_history", [])
     if as_json:
         say(rows)
         return
@@ -217,7 +201,7 @@
 @where
 def show_(version: int, at: str | None, toml: str | None, as_json: bool) -> None:
     """What VERSION says, beside the settings of each start."""
-    figures = flat(from_voter(at, toml, "policy_text", [version]))
+    figures = flat(from_leader(at, toml, "policy_text", [version]))
     if as_json:
         say(figures)
         return
@@ -231,7 +215,7 @@
 @where
 def diff(old: int, new: int, at: str | None, toml: str | None, as_json: bool) -> None:
     """A line a key that two versions say otherwise; "-" is as in the settings of the start."""
-    a, b = (from_voter(at, toml, "policy_text", [v]) for v in (old, new))
+    a, b = (from_leader(at, toml, "policy_text", [v]) for v in (old, new))
     lines = differs(a, b, lambda value: "-" if value is None else NUMBER(value))
     if as_json:
         say(lines)
--- a/landingshift/cli/upkeep.py
+++ b/landingshift/cli/upkeep.py
@@ -7,10 +7,8 @@
 
 import click
 
-from landingshift.cli.fleet import BROKEN, Told, asked, server, table, where
+from landingshift.cli.fleet import BROKEN, Told, asked, from_leader, table, where
 from landingshift.cli.main import say
-from landingshift.fleet.settings import address
-from landingshift.fleet.talk import NoAnswer, ask as call
 
 
 @click.group()
@@ -18,17 +16,6 @@
     """Work on machines; exit status 1 where nobody answers or something was not done."""
 
 
-def lead(at: str | None, toml: str | None, name: str, params: list[Any] | None = None) -> Any:
-    """A call to the leader that this server knows."""
-    found = asked(at, toml, "policy_status")
-    to = address("leader", found["leader_at"]) if found["leader_at"] else server(at, toml)
-    try:
-        return call(to, name, params or [])
-    except NoAnswer as err:
-        click.echo(f"landingshift: {to[0]}:{to[1]}: {err}", err=True)
-        raise SystemExit(BROKEN) from err
-
-
 def show(found: dict[str, Any]) -> None:
     for key in ("held", "waits_for", "machines", "demand", "room", "lost"):
         if found.get(key):
@@ -83,7 +70,7 @@
     before = now + after * 60_000.0 if after else 0.0
     end = now + within * 60_000.0 if within else float("inf")
     rows = [[n, minutes, urgency, before, end, alone, together] for n in dict.fromkeys(chosen)]
-    count = lead(at, toml, "upkeep_ask", rows)
+    count = from_leader(at, toml, "upkeep_ask", rows)
     if not wait:
         say({"asked": count}) if as_json else click.echo(f"{count} are asked for")
         return
@@ -94,7 +81,7 @@
     """Progress on a terminal until all have ended; status 1 where not all were done."""
     end, began, shown = time.monotonic() + wait, time.time() * 1000.0 - 5000.0, ""
     while True:
-        found = lead(at, toml, "upkeep_status")
+        found = from_leader(at, toml, "upkeep_status")
         left = {w["name"]: w["stage"] for w in found["wishes"] if w["name"] in names}
         text = f"{len(names) - len(left)} of {len(names)} over, " + ", ".join(
             f"{n} {s}" for n, s in sorted(left.items()) if s != "wished"
@@ -105,7 +92,7 @@
         if not left or time.monotonic() > end:
             break
         time.sleep(0.5)
-    rows = [r for r in lead(at, toml, "upkeep_history") if r["name"] in names and r["since"] >= began]
+    rows = [r for r in from_leader(at, toml, "upkeep_history") if r["name"] in names and r["since"] >= began]
     done = {r["name"] for r in rows if r["end"] == "done"}
     if as_json:
         say(rows)
@@ -120,7 +107,7 @@
 @where
 def status(at: str | None, toml: str | None, as_json: bool) -> None:
     """Who is wanted, how far each is, and what is waited for."""
-    found = lead(at, toml, "upkeep_status")
+    found = from_leader(at, toml, "upkeep_status")
     say(found) if as_json else show(found)
 
 
@@ -128,7 +115,7 @@
 @where
 def plan(at: str | None, toml: str | None, as_json: bool) -> None:
     """Dry run: who would go when at the demand of now, and the least capacity."""
-    found = lead(at, toml, "upkeep_plan")
+    found = from_leader(at, toml, "upkeep_plan")
     if as_json:
         say(found)
         return
@@ -144,7 +131,7 @@
 @click.option("--why", default="", help="Kept in the history.")
 def cancel(names: tuple[str, ...], at: str | None, toml: str | None, as_json: bool, why: str) -> None:
     """Takes wishes back that nobody has been permitted yet; hold comes first for the others."""
-    count = lead(at, toml, "upkeep_cancel", [why, *names])
+    count = from_leader(at, toml, "upkeep_cancel", [why, *names])
     say({"cancelled": count}) if as_json else click.echo(f"{count} of {len(names)} cancelled")
     if count < len(names):
         raise SystemExit(BROKEN)
@@ -155,7 +142,7 @@
 @click.option("--why", required=True, help="Shown in the status.")
 def hold(at: str | None, toml: str | None, as_json: bool, why: str) -> None:
     """Nobody is let go from now on; who is out comes back."""
-    lead(at, toml, "upkeep_hold", [why])
+    from_leader(at, toml, "upkeep_hold", [why])
     say({"held": why}) if as_json else click.echo("held")
 
 
@@ -163,7 +150,7 @@
 @where
 def resume(at: str | None, toml: str | None, as_json: bool) -> None:
     """Goes on after a hold."""
-    lead(at, toml, "upkeep_hold", [""])
+    from_leader(at, toml, "upkeep_hold", [""])
     say({"held": ""}) if as_json else click.echo("goes on")
 
 
@@ -171,7 +158,7 @@
 @where
 def history(at: str | None, toml: str | None, as_json: bool) -> None:
     """What became of earlier wishes."""
-    rows = lead(at, toml, "upkeep_history")
+    rows = from_leader(at, toml, "upkeep_history")
     if as_json:
         say(rows)
         return
--- a/landingshift/policies/part.py
+++ b/landingshift/policies/part.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -31,13 +31,12 @@
 
 @dataclass(slots=True)
 class Errand:
-    """What an operator wants; `answer` is the leader's last word on it."""
+    """What an operator wants, on its way to the leader."""
 
     what: list[Any]
     since: float
     at: float
     tries: int = 0
-    answer: dict[str, Any] = field(default_factory=dict)
 
 
 class Part:
@@ -75,7 +74,6 @@
         self.errands: dict[str, Errand] = {}
         self.answers: dict[str, dict[str, Any]] = {}
         self.out: list[tuple[str, list[Any]]] = []
-        self.now = now
 
     # The driver's
 
@@ -95,7 +93,6 @@
         return min(due)
 
     def tick(self, now: float) -> None:
-        self.now = now
         if self.voter is not None and self.desk is not None:
             self.voter.tick(now)
             self.advance(now)
@@ -107,7 +104,6 @@
         self.deliver(now)
 
     def hear(self, who: str, body: list[Any], now: float) -> None:
-        self.now = now
         self.take(who, body, now)
         self.deliver(now)
 
@@ -218,7 +214,7 @@
         errand = self.errands.get(id)
         if errand is None:
             return
-        self.answers[id] = errand.answer = answer
+        self.answers[id] = answer
         if len(self.answers) > ANSWERS:
             del self.answers[next(iter(self.answers))]
         if answer["end"] in ENDED or errand.what[0] == "find":
--- a/landingshift/policies/service.py
+++ b/landingshift/policies/service.py
@@ -11,7 +11,7 @@
 from landingshift.fleet.messages import Record, State
 from landingshift.fleet.service import Fleet
 from landingshift.net.transport.loop import Timer
-from landingshift.policies.document import Base
+from landingshift.policies.document import LARGEST, Base
 from landingshift.policies.follower import Stage
 from landingshift.agreement.journal import BadJournal, Journal
 from landingshift.policies.part import Part
@@ -323,7 +323,7 @@
 def fits(what: list[Any]) -> bool:
     match what:
         case ["propose", bytes(policy), str(who), str(why)]:
-            return len(policy) <= 65_536 and len(who) <= 64 and len(why) <= 300
+            return len(policy) <= LARGEST and len(who) <= 64 and len(why) <= 300
         case ["withdraw", str(who), str(why)]:
             return len(who) <= 64 and len(why) <= 300
         case ["voters", "add" | "remove", str(name)]:
--- a/landingshift/upkeep/order.py
+++ b/landingshift/upkeep/order.py
@@ -7,7 +7,7 @@
 from itertools import combinations
 
 from landingshift.upkeep.floor import Floor
-from landingshift.upkeep.wishes import COUNTED, Stage, Wish
+from landingshift.upkeep.wishes import Stage, Wish
 
 EXACT = 8  # machines up to which all orders are gone through
 
@@ -169,7 +169,3 @@
         now = min(away.values())
         away = {n: end for n, end in away.items() if end > now}
     return found, least
-
-
-def counted(wishes: dict[str, Wish]) -> int:
-    return sum(w.stage in COUNTED for w in wishes.values())
