Experiments have their common options from one place

Cause: four commands of the laboratory wrote seed, json, break and only each for itself, three of them the number of real processes too. Change: common() and processes() in cli/lab.py add them.

--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import click
 
@@ -11,6 +11,29 @@
 BROKEN = 1
 
 
+Command = Callable[..., None]
+
+
+def common(breaks: list[str]) -> Callable[[Command], Command]:
+    """Options that all experiments have; `breaks`: the defences that one can take away."""
+
+    def add(command: Command) -> Command:
+        seed = click.option("--seed", type=int, default=1, show_default=True)
+        file = click.option(
+            "--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file."
+        )
+        broken = click.option("--break", "broken", type=click.Choice(breaks))
+        return seed(file(broken(click.option("--only", help="One case by its name.")(command))))
+
+    return add
+
+
+def processes(most: int) -> Callable[[Command], Command]:
+    """How many real ones the rows that take some have."""
+    kind, said = click.IntRange(0, most), "Real processes; 0: virtual only."
+    return click.option("--servers", type=kind, default=0, show_default=True, help=said)
+
+
 @click.group()
 def group() -> None:
     """Experiments; exit status 1 where a promise did not hold."""
@@ -21,10 +44,7 @@
 @click.option(
     "--kills", type=click.IntRange(0, 10_000), default=5, show_default=True, help="Runs with a kill."
 )
-@click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
-@click.option("--break", "broken", type=click.Choice(["cursor", "identity", "chain", "disputed", "batch"]))
-@click.option("--only", help="One case by its name.")
+@common(["cursor", "identity", "chain", "disputed", "batch"])
 def ledger(
     repeats: int, kills: int, seed: int, file: str | None, broken: str | None, only: str | None
 ) -> None:
@@ -36,17 +56,8 @@
 
 @group.command()
 @click.option("--repeats", type=click.IntRange(1, 100_000), default=5, show_default=True)
-@click.option(
-    "--servers",
-    type=click.IntRange(0, 400),
-    default=0,
-    show_default=True,
-    help="Real processes; 0: virtual only.",
-)
-@click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
-@click.option("--break", "broken", type=click.Choice(["quiet", "booking", "shares"]))
-@click.option("--only", help="One case by its name.")
+@processes(400)
+@common(["quiet", "booking", "shares"])
 @click.option("--plot", type=click.Path(dir_okay=False), help="Real starts by second, to this picture.")
 def coldstart(
     repeats: int,
@@ -66,17 +77,8 @@
 @group.command()
 @click.option("--repeats", type=click.IntRange(1, 100_000), default=5, show_default=True)
 @click.option("--histories", type=click.IntRange(1, 10_000_000), default=200, show_default=True)
-@click.option(
-    "--servers",
-    type=click.IntRange(0, 400),
-    default=0,
-    show_default=True,
-    help="Real processes; 0: virtual only.",
-)
-@click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
-@click.option("--break", "broken", type=click.Choice(["lease", "ask", "sure", "arm", "disk"]))
-@click.option("--only", help="One case by its name.")
+@processes(400)
+@common(["lease", "ask", "sure", "arm", "disk"])
 def policy(
     repeats: int,
     histories: int,
@@ -94,17 +96,8 @@
 
 @group.command()
 @click.option("--repeats", type=click.IntRange(1, 1_000_000), default=20, show_default=True)
-@click.option(
-    "--servers",
-    type=click.IntRange(0, 100),
-    default=0,
-    show_default=True,
-    help="Real processes; 0: virtual only.",
-)
-@click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--json", "file", type=click.Path(dir_okay=False), help="All figures, to this file.")
-@click.option("--break", "broken", type=click.Choice(["floor", "end"]))
-@click.option("--only", help="One case by its name.")
+@processes(100)
+@common(["floor", "end"])
 def upkeep(
     repeats: int, servers: int, seed: int, file: str | None, broken: str | None, only: str | None
 ) -> None:
