A moved deadline is told from one counted anew by half a second, not by thirty ms

Cause: the only failure of the last run of all tests on a clean checkout was test_deadlines_and_a_drain_move_as_they_are: 346 ms where under 330 were allowed. The deadline was 300 ms, moved after 100; a taker that counts the wait anew answers at 400, so that the bound had to lie between 300 and 400, and a machine with eight test processes on it is late by more than that leaves. Change: the wait is 800 ms and moved after 600; right is 800, counted anew 1,400, the bound 1,200. Result: tests of the module pass; with a taker that is given the whole wait again the test fails (1,400 ms and more).

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -454,16 +454,17 @@
         self.assertEqual((len(self.router.rpcs), len(self.router.by_id)), (0, 0))
 
     def test_deadlines_and_a_drain_move_as_they_are(self) -> None:
+        # A taker that counted the wait anew would answer at 1,400 ms; what a full machine adds must not matter.
         g = self.gateway()
-        g.sendall(self.rpc("m", b"late", wait="300"))
+        g.sendall(self.rpc("m", b"late", wait="800"))
         self.command()
         begun = self.loop.clock()
         self.router.drain()
-        self.pump(100.0)
+        self.pump(600.0)
         self.move()
         self.assertTrue(self.router.draining)
         self.assertEqual(self.answers(g, 1), {1: "Failed"})
-        self.assertLess(self.loop.clock() - begun, 330.0)
+        self.assertLess(self.loop.clock() - begun, 1200.0)
         self.assertEqual(self.faults, [])
 
     def test_the_listener_keeps_its_backlog(self) -> None:
