A voter that is removed may still be elected until its leaving is taken

It steps down with the entry that names the other alone in its log, asks for no votes as it is none of the voters any more, and gives the other none, whose log is shorter: no leader for ever, and who starts after that is never counted. Ruled out: the cut (over after 0.6 s), the disk (both whole), the module's rules for a vote (rightly refused). At fault: tick(), which asked only whether the newest set names it, taken or not. Change: a voter stands as long as it is named by the newest set, or by the one before while the newest is not taken; its own vote counts only where it is named. The paper's authors ask for the same of a server that is not in its own newest configuration.

--- a/landingshift/agreement/voter.py
+++ b/landingshift/agreement/voter.py
@@ -145,12 +145,15 @@
 
     def know(self) -> None:
         """The newest voters of the log; called whenever such an entry comes or goes."""
-        self.named, self.voters = 0, self.stored.voters or self.first
+        sets = [(0, self.stored.voters or self.first)]
         for index in range(self.last, self.stored.base, -1):
             found = self.names(index)
             if found:
-                self.named, self.voters = index, found
-                break
+                sets.insert(1, (index, found))
+                if len(sets) == 3:
+                    break
+        self.named, self.voters = sets[-1]
+        self.before = sets[-2][1] if len(sets) > 1 else self.voters  # the set that this one took the place of
         self.others = tuple(v for v in self.voters if v != self.name)
         for other in self.others if self.role is Role.LEADER else ():
             self.next.setdefault(other, self.last + 1)
@@ -167,6 +170,12 @@
     def votes_too(self) -> bool:
         return self.name in self.voters
 
+    @property
+    def stands(self) -> bool:
+        """Whether it may be elected. One that is removed is, too, until that is taken: it may be the only one
+        that has the entry, and those who are left can't win over its longer log."""
+        return self.votes_too or (self.named > self.commit and self.name in self.before)
+
     def replace(self, voters: tuple[str, ...], now: float) -> int | None:
         """The entry's index; None where it can't be just now: one at a time, by one that leads for sure."""
         one = len(set(voters) ^ set(self.voters)) == 1 and 1 <= len(voters) <= MOST
@@ -244,7 +253,7 @@
                 return
             self.due = now + self.times.beat
             self.beat()
-        elif self.votes_too:
+        elif self.stands:
             self.ask(True)
         else:
             self.patience()
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -274,6 +274,34 @@
         voter.tick(1e6)
         self.assertIs(voter.role, Role.FOLLOWER)  # and asks for no votes any more
 
+    def test_one_that_led_its_own_leaving_stands_again_until_that_is_taken(self) -> None:
+        # Alone with the entry by which it leaves, it won't be elected by itself and lets nobody else be: the
+        # two that are left of them would wait for each other for ever.
+        voter = self.lead()
+        voter.hear("b", Appended(1, True, 1, voter.rounds), 1010.0)
+        gone = voter.replace(("b", "c"), 1011.0)
+        assert gone is not None
+        voter.saved()
+        for now in (1100.0, 1200.0, 1300.0, 1400.0):  # nobody answers any more
+            voter.tick(now)
+        voter.take_out()
+        voter.tick(2000.0)
+        self.assertIs(voter.role, Role.ASKING)
+        self.assertEqual({to for to, _ in voter.take_out()}, {"b", "c"})
+        voter.hear("b", Vote(2, True, True), 2001.0)
+        self.assertIs(voter.role, Role.ASKING)  # its own vote does not count among two
+        voter.hear("c", Vote(2, True, True), 2002.0)
+        for who in "bc":
+            voter.saved()
+            voter.hear(who, Vote(2, True, False), 2003.0)
+        self.assertIs(voter.role, Role.LEADER)
+        voter.saved()
+        for who in "bc":
+            voter.hear(who, Appended(2, True, voter.last, voter.rounds), 2010.0)
+        self.assertEqual((voter.commit, voter.role), (voter.last, Role.FOLLOWER))
+        voter.tick(1e6)
+        self.assertIs(voter.role, Role.FOLLOWER)
+
     def test_voters_that_were_cut_off_the_log_do_not_count(self) -> None:
         voter = self.voter()
         names = Entry(1, VOTERS + msgspec.msgpack.encode(["a", "b", "c", "d"]))
