Whoever starts finds the leader though all voters of its settings were replaced

Ruled out: the election (a leader was there and sure), the network (whole for a minute). Change: who does not lead names the leader that answers its own requests; a follower asks the voters of its settings and of its own log in turn; sent to and fro between two that are both wrong it goes slower after four turns.

--- a/landingshift/lab/policy.py
+++ b/landingshift/lab/policy.py
@@ -237,6 +237,27 @@
     return hall
 
 
+def settings_outdated(row: Row, seed: int, away: str) -> Hall:
+    """All voters of the settings are replaced one after the other; whoever starts then finds the new one."""
+    hall = Hall(seed, 6, 3, away=away)
+    hall.run(2500.0)
+    for how, name in (("add", "n3"), ("remove", "n0"), ("remove", "n1"), ("remove", "n2")):
+        hall.replace("n4", how, name)
+        hall.run(3000.0)
+    voter = hall.minds["n3"].part.voter
+    assert voter is not None
+    must(row, voter.voters == ("n3",), f"voters are {voter.voters}")
+    for name in ("n3", "n5", "n0"):
+        hall.kill(name)
+        hall.start(name)
+    hall.run(8000.0)
+    id = hall.propose("n5", 1)
+    hall.run(2000.0)
+    taken(row, hall, id)
+    hall.settle()
+    return hall
+
+
 VIRTUAL: dict[str, Callable[[Row, int, str], Hall]] = {
     "without_faults": without_faults,
     "with_loss": with_loss,
@@ -248,6 +269,7 @@
     "forgets": forgets,
     "gone_late": gone_late,
     "voters_replaced": voters_replaced,
+    "settings_outdated": settings_outdated,
 }
 LARGE = ("without_faults", "with_loss", "tenth_down")  # 200 servers each
 
--- a/landingshift/policies/desk.py
+++ b/landingshift/policies/desk.py
@@ -68,14 +68,16 @@
 
     # What servers ask
 
-    def here(self, who: str, body: list[Any], now: float) -> None:
+    def here(self, who: str, body: list[Any], now: float, known: str = "") -> None:
+        """`known`: the leader that answers this server's own requests. A replaced voter hears of none
+        any more, and whoever knows only the voters of its settings asks nobody else."""
         match body:
             case [int(run), int(number), int(version), str(change), str(stage), str(said), mark, bool(spare)]:
                 pass
             case _:
                 return
         if not self.leads(now):
-            leader = self.voter.leader
+            leader = self.voter.leader or known
             self.out.append((who, ["ask", number, "" if leader == self.voter.name else leader]))
             return
         if mark != self.plan.mark:
--- a/landingshift/policies/follower.py
+++ b/landingshift/policies/follower.py
@@ -21,6 +21,7 @@
 from random import Random
 from typing import Any
 
+TURNS = 4  # times in a row that it goes at once where it is sent: those who send may both be wrong
 LOST = 2  # requests in a row without an answer after which another voter is asked
 ENDS = 64
 OUT = 16  # requests whose times are kept
@@ -90,9 +91,10 @@
         self.until = now  # end of its lease
         self.ends: dict[str, tuple[str, int, str]] = {}  # how the last changes ended that it was asked about
         self.voters = list(plan.voters)  # as the leader told them last
+        self.named: tuple[str, ...] = ()  # as its own log has them, where it is or was a voter
         self.spare = False  # whether this one could be a voter: it has a journal
         self.leader, self.turn = "", chance.randrange(len(plan.voters))
-        self.number = self.accepted = self.silent = self.unheard = 0
+        self.number = self.accepted = self.silent = self.unheard = self.turns = 0
         self.sent: dict[int, float] = {}
         self.ask_at, self.asked_at = now + SEEK * chance.random(), -1e9
 
@@ -126,8 +128,9 @@
 
     def ask(self, now: float) -> None:
         if self.silent >= LOST or not self.leader:
-            self.turn = (self.turn + 1) % len(self.voters)
-            self.leader, self.silent = self.voters[self.turn], 0
+            asked = [*self.voters, *(name for name in self.named if name not in self.voters)]
+            self.turn = (self.turn + 1) % len(asked)
+            self.leader, self.silent = asked[self.turn], 0
         self.number += 1
         self.silent += 1
         self.sent[self.number] = self.asked_at = now
@@ -181,13 +184,15 @@
     def turned(self, leader: str, number: int, now: float) -> None:
         """To another voter, which leads; "" where it knows none."""
         if leader and leader != self.leader:
-            self.leader, self.silent = leader, 0
-            self.sooner(max(now, self.asked_at + HERE))
+            self.leader, self.silent, self.turns = leader, 0, self.turns + 1
+            if self.turns <= TURNS:
+                self.sooner(max(now, self.asked_at + HERE))
         elif not leader:
             self.leader = ""
 
     def told(self, m: Told, now: float) -> None:
         self.joined, self.refused, self.voters = m.joined, "", [str(name) for name in m.voters[:MOST]]
+        self.turns = 0
         self.newest = max(self.newest, m.version)
         if m.ended and m.ended[0] == self.change:
             id, end, version, said = m.ended
--- a/landingshift/policies/part.py
+++ b/landingshift/policies/part.py
@@ -98,6 +98,7 @@
             self.advance(now)
             if now >= self.desk.next():
                 self.desk.step(now)
+            self.follower.named = self.voter.voters
         self.follower.step(now)
         for id in [i for i, e in self.errands.items() if e.at <= now]:
             self.carry(id, now)
@@ -128,7 +129,7 @@
                     self.advance(now)
             case ["here", *rest]:
                 if self.desk is not None:
-                    self.desk.here(who, rest, now)
+                    self.desk.here(who, rest, now, self.follower.leader if self.follower.joined else "")
                     if self.desk.next() <= now:
                         self.desk.step(now)
             case ["want", str(change), int(version)]:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -288,6 +288,19 @@
         self.assertIn("stand_aside", self.follower(aside=True).trust(3, b"it"))
         self.assertEqual(self.follower(check="methods.m: none").trust(3, b"it"), "methods.m: none")
 
+    def test_who_is_sent_to_and_fro_goes_slower(self) -> None:
+        # Two that each take the other for the leader would be asked a hundred times a second each.
+        f = self.follower()
+        now, asked = 0.0, 0
+        while now < 4000.0:
+            now = max(now, f.next())
+            f.step(now)
+            for to, body in f.out:
+                f.hear(to, ["ask", body[2], "w" if to == "v" else "v"], now)
+                asked += 1
+            f.out.clear()
+        self.assertLess(asked, 40)
+
     def test_nonsense_changes_nothing(self) -> None:
         f = self.start()
         told = ["told", 2, True, 9, "", ""]
