One server may always try to start, however long a lender has heard nothing

Change: with less than one place and no word, the number grows up to one and no further: one tries, and brings news.

--- a/landingshift/coldstart/places.py
+++ b/landingshift/coldstart/places.py
@@ -50,11 +50,16 @@
         strain = told[len(told) * 3 // 4] if told else None
         # Before anything strained silence is a service that nobody has called yet; after it, it is no news.
         easy = strain <= EASY if strain is not None else self.growth >= 1.0
+        # With less than one nobody starts who could tell: up to one more may always be tried, else those who
+        # wait at a lender that nobody else tells anything would wait for ever.
+        tries = strain is None and self.limit < 1.0
         was = self.limit
         if self.rest:
             self.rest -= 1
         elif strain is not None and strain > 1.0:
             self.limit, self.rest, self.growth = max(self.least, self.limit / 2.0), REST, GROWTH
+        elif tries and wanted:
+            self.limit = min(1.0, self.most, self.limit + max(self.least, self.growth * self.limit))
         elif easy and wanted:
             self.limit = min(self.most, self.limit + max(self.least, self.growth * self.limit))
         return self.limit != was
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -77,6 +77,18 @@
             pace.look(1000.0 * window, True)
         self.assertEqual(pace.limit, pace.least)  # never quite none: one tries now and then
 
+    def test_where_nobody_can_start_who_could_tell_one_tries(self) -> None:
+        # Cut below one place, with only those asking that wait and tell nothing: they waited for ever.
+        pace = Pace(1.0, 20.0, 0.0)
+        for window in range(1, 9):
+            pace.strain(5.0)
+            pace.look(1000.0 * window, True)
+        self.assertEqual(pace.limit, pace.least)
+        for window in range(9, 40):
+            pace.strain(UNKNOWN)
+            pace.look(1000.0 * window, True)
+        self.assertEqual(pace.limit, 1.0)  # and no more than one
+
     def test_a_place_is_kept_lapses_and_is_not_taken_back(self) -> None:
         places = Places(2.0, 2.0, LEASE, SPARE, -5000.0)
         wish = lambda: Wish("z", 1.0, 0.0)  # noqa: E731
