Upkeep: demand ahead, the longest line first, no refusal while a zone is missing

Three rows of real processes: all replaced while as much comes as all but one can do, a notice to a zone and a zone without power while two are out. Found by the new rows: a leader chosen while a zone was down refused wishes for good, since the floor of those that had reported could never hold ("they ended as n2 refused, n4 refused"); now nothing is refused for lack while somebody is missing.

--- a/landingshift/fleet/members.py
+++ b/landingshift/fleet/members.py
@@ -53,6 +53,10 @@
         member = self.table.get(name)
         return member.record if member else None
 
+    def names(self) -> set[str]:
+        """Of all that were heard of and are not forgotten yet, there or not."""
+        return {self.me.name, *self.table}
+
     def alive(self) -> Iterator[Record]:
         return (self.table[name].record for name in self.present)
 
--- a/landingshift/lab/upkeep.py
+++ b/landingshift/lab/upkeep.py
@@ -39,6 +39,7 @@
     still: float = 0.0  # it stands still until then
     pending: list[Any] = field(default_factory=list)  # what it was told and has not seen yet
     cut: bool = False
+    slow: float = 0.0  # ms that what it is told is on its way
 
     def warmth(self, now: float, cold: float) -> float:
         return min(1.0, (now - self.born) / cold) if self.up and cold else float(self.up)
@@ -77,7 +78,8 @@
         term = self.term
         foreman = Foreman(
             self.book, self.plan, lambda data: self.book.apply(data), lambda _: term == self.term,
-            lambda name: not self.servers[name].up, lambda: self.now, lambda *_, **__: None,
+            lambda name: not self.servers[name].up, lambda: set(self.servers), lambda: self.now,
+            lambda *_, **__: None,
         )  # fmt: skip
         return foreman
 
@@ -105,8 +107,9 @@
                     [],
                 )
         for server in here:
-            pending, server.pending = server.pending, []
-            for asked, answer in pending:  # from before it stood still
+            late = [p for p in server.pending if p[0] <= self.now]
+            server.pending = [p for p in server.pending if p[0] > self.now]
+            for _, asked, answer in late:  # from before it stood still, or long on its way
                 self.told(server, asked, answer)
             if server.up and not server.cut:
                 body = [
@@ -119,8 +122,8 @@
                 ]
                 answer = self.foreman.hear(server.machine, server.run, body, self.now)
                 if answer is not None:
-                    if self.chance.random() < 0.1:
-                        server.pending.append((self.now, answer))  # late: seen at its next step
+                    if server.slow or self.chance.random() < 0.1:
+                        server.pending.append((self.now + server.slow, self.now, answer))
                     else:
                         self.told(server, self.now, answer)
         self.foreman.step(self.now)
@@ -131,7 +134,7 @@
         if lasts > 0.0 and not server.going and server.leave.granted(number, asked, lasts):
             if self.chance.random() < 0.05 and self.away in ("end", ""):
                 server.still = self.now + self.chance.uniform(100.0, 3.0 * lasts)  # just before it looks
-                server.pending.append((asked, ["go", number, -1.0]))
+                server.pending.append((server.still, asked, ["go", number, -1.0]))
                 return
         elif lasts >= 0.0:
             return
@@ -171,8 +174,9 @@
     took = day.now - began
     machines = [s.machine for s in day.servers.values()]
     whole = sum(m.capacity for m in machines)
-    gone = day.minutes * MINUTE + day.cold / 2.0
-    least = least_ms(lambda t: Floor(machines, Needs(), day.load(began + t) * whole), gone)
+    least = least_ms(
+        lambda t: Floor(machines, Needs(), day.load(began + t) * whole), day.minutes * MINUTE, day.cold
+    )
     row.figures["took_min"] = round(took / MINUTE)
     row.figures["over_least"] = max(row.figures.get("over_least", 0.0), round(took / least, 2))
     ends = {e.end for e in day.book.history}
@@ -247,6 +251,25 @@
             break
 
 
+def late_word(row: Row, seed: int, away: str) -> None:
+    """A permission is on its way while load rises and it is taken back: it must not be used when it comes."""
+    day = Day(seed, 12, zones=2, cold=1000.0, away=away)
+    day.minutes, day.peak = 0.5, 0.3
+    for _ in range(10):
+        day.step()
+    slow = day.servers[f"n{9 + seed % 3}"]  # neither voter nor best
+    slow.slow = 3.0 * day.plan.lasts
+    day.wish([slow.machine.name])
+    for _ in range(20):
+        if slow.machine.name not in day.book.runs:
+            day.step()
+    day.peak = 2.5  # more than all can do by night
+    for _ in range(60):
+        day.step()
+    must(row, not slow.going and slow.up, f"seed {seed}: {slow.machine.name} left by {slow.going}, too late")
+    row.broken += [f"seed {seed}: {text}" for text in day.broken[:1]]
+
+
 def greedy(row: Row, seed: int, away: str) -> None:
     """How far the greedy order is from the exact one on small cases."""
     draw = Random(f"{seed} greedy")
@@ -264,7 +287,13 @@
         row.figures["greedy"] = row.figures.get("greedy", 0) + found
 
 
-VIRTUAL = {"drawn": drawn, "floor_kept": floor_kept, "greedy": greedy, "whole_day": whole_day}
+VIRTUAL = {
+    "drawn": drawn,
+    "floor_kept": floor_kept,
+    "late_word": late_word,
+    "greedy": greedy,
+    "whole_day": whole_day,
+}
 
 
 def virtual(name: str, runs: int, seed: int, away: str) -> Row:
--- a/landingshift/lab/upkeep_real.py
+++ b/landingshift/lab/upkeep_real.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import threading
 import time
 from collections.abc import Callable
@@ -14,6 +15,8 @@
 
 CAPACITY = CORES * 1000.0 / WORK
 LOAD = 0.55  # of what all can do: with the spare one or two of six may be out
+NIGHT = 0.3  # two may be out, and a zone beside them
+FULL = 0.93  # of what is left while one is out: what comes in a second is not even
 AWAY = 0.5  # s that work takes
 LASTS = 1500.0
 SPARE = 0.1
@@ -23,9 +26,12 @@
 class Yard(Council):
     """Whoever ends by itself is started again a moment later, as its operator's supervisor does."""
 
-    def __init__(self, folder: str, count: int, seed: int, load: float = LOAD) -> None:
+    def __init__(
+        self, folder: str, count: int, seed: int, load: float = LOAD, spare: float = SPARE, rooms: str = ""
+    ) -> None:
         # Five voters: with three, one on leave would leave a bare majority.
         super().__init__(folder, count, seed, load=load, cold=COLD, voters=5)
+        self.spare, self.rooms = spare, rooms
         self.dead: set[int] = set()  # whom nobody starts again
         self.open = True
         self.again = 0
@@ -35,7 +41,7 @@
         return f"""[upkeep]
 capacity = {CAPACITY}
 model = "m{i % 2}"
-spare = {SPARE}
+spare = {self.spare}
 zone_share = 0.0
 model_share = 0.0
 mark = "{self.rig.folder}/n{i}.left"
@@ -43,6 +49,7 @@
 spare_ms = 300
 back_minutes = 0.01
 rings = false
+{self.rooms}
 """
 
     def supervise(self) -> None:
@@ -70,6 +77,14 @@
         except NoAnswer:
             return {}
 
+    def out(self) -> int:
+        """Machines that are away by a permission, as the leader has it."""
+        try:
+            found = self.state(self.leader(2.0))
+        except RuntimeError:
+            return 0
+        return sum(w["stage"] in ("draining", "out", "returning") for w in found.get("wishes", []))
+
     def wish(self, names: list[str], **how: Any) -> None:
         row = [how.get("minutes", 0.05), how.get("urgency", 1.0), 0.0, float("inf"), how.get("alone", False),
                how.get("group", "")]  # fmt: skip
@@ -102,9 +117,22 @@
         super().check(row, finish)
 
 
-def case(play: Callable[[Yard, Row], None], load: float = LOAD) -> Any:
+COMMON_START = """[coldstart]
+servers = {count}
+lenders = ["n0", "n1"]
+calls_s = {calls}
+"""
+
+
+def case(
+    play: Callable[[Yard, Row], None], load: float = LOAD, full: bool = False, cold: bool = False
+) -> Any:
+    """`full`: as much comes as all but one can do; `cold`: starts ask for places, too."""
+
     def run(folder: str, count: int, seed: int, row: Row) -> None:
-        yard = Yard(folder, count, seed, load)
+        share, spare = (FULL * (count - 1) / count, 0.0) if full else (load, SPARE)
+        rooms = COMMON_START.format(count=count, calls=1000.0 * count) if cold else ""
+        yard = Yard(folder, count, seed, share, spare, rooms)
         try:
             play(yard, row)
             yard.check(row)
@@ -146,6 +174,45 @@
     must(row, most <= max(1, allowed), f"{most} were out at once, {allowed} may be")
 
 
+def at_full_load(y: Yard, row: Row) -> None:
+    """All are replaced while what comes in is what all but one can do."""
+    y.start_all()
+    began = time.monotonic()
+    y.wish(names(y))
+    must(row, y.over(names(y), 30.0 + 15.0 * y.count), f"not over: {y.state(y.leader())}")
+    row.figures["took_s"] = round(time.monotonic() - began, 1)
+    ends = y.ended_as()
+    must(row, ends == dict.fromkeys(names(y), "done"), f"they ended as {ends}")
+
+
+def zone_meanwhile(how: str, y: Yard, row: Row) -> None:
+    """While two are out a zone gets a notice from outside, or loses its power and starts cold: that goes
+    before all else, takes from the allowance, and what is wanted ends all the same."""
+    y.start_all()
+    zone = [i for i in range(y.count) if i % 3 == 0]
+    wanted = [y.rig.name(i) for i in range(y.count) if i not in zone]
+    y.wish(wanted)
+    y.rig.until(10.0, lambda: y.out() >= 1)
+    at = time.monotonic() * 1000.0
+    y.dead.update(zone)  # until their operator has power again
+    for i in zone:
+        if how == "notice":
+            y.rig.processes[i].send_signal(signal.SIGTERM)
+        else:
+            y.rig.kill(i)
+    gone = y.rig.until(8.0, lambda: all(y.rig.processes[i].poll() is not None for i in zone))
+    must(row, gone, "the zone did not go")
+    time.sleep(5.0)
+    back = time.monotonic() * 1000.0
+    y.dead.difference_update(zone)
+    must(row, y.over(wanted, 60.0), f"not over: {y.state(y.leader())}")
+    ends = y.ended_as()
+    must(row, ends == dict.fromkeys(wanted, "done"), f"they ended as {ends}")
+    # What was permitted before may still go; after that the voters that are lost leave none to spare.
+    late = [e for e in y.rig.history() if e[1] == "left" and at + LASTS + 1000.0 < e[0] < back]
+    must(row, not late, f"let go while a zone was out: {late}")
+
+
 def crash_meanwhile(y: Yard, row: Row) -> None:
     """One that nobody wanted crashes for good just after a permission: it takes from the same allowance."""
     y.start_all()
@@ -278,5 +345,8 @@
     "real_killed_at_each_step": case(killed_at_each_step),
     "real_never_back": case(never_back),
     "real_overloaded": case(overloaded, 1.0),
+    "real_at_full_load": case(at_full_load, full=True),
+    "real_notice_to_a_zone": case(partial(zone_meanwhile, "notice"), NIGHT),
+    "real_cold_zone": case(partial(zone_meanwhile, "power"), NIGHT, cold=True),
     "real_with_a_change": case(with_a_change),
 }
--- a/landingshift/upkeep/book.py
+++ b/landingshift/upkeep/book.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from landingshift.agreement.shelf import entry
+from landingshift.upkeep.forecast import Shape
 from landingshift.upkeep.wishes import ENDED, BadMove, Stage, Wish
 
 NAME = "upkeep"
@@ -33,6 +34,7 @@
     held: str
     wishes: list[Any]
     history: list[Ended]
+    seen: list[float] = []  # a book of an earlier build has none
 
 
 FIELDS = ("name", "minutes", "since", "urgency", "not_before", "not_after", "alone", "group")
@@ -49,6 +51,7 @@
         self.wishes: dict[str, Wish] = {}
         self.runs: dict[str, int] = {}  # the run that each permission was given to
         self.history: list[Ended] = []
+        self.shape = Shape()  # of the last day's demand
 
     def apply(self, data: bytes) -> None:
         match msgspec.msgpack.decode(data)[1:]:
@@ -61,6 +64,8 @@
                 self.move(name, number, Stage(to), why, at)
             case ["hold", str(why)]:
                 self.held = why
+            case ["seen", int(quarter), float(demand)]:
+                self.shape.seen(quarter, demand)
 
     def wish(self, wish: Wish) -> None:
         """Asked twice, it stands once; the later word on how and when counts until it is permitted."""
@@ -105,12 +110,14 @@
             + [w.stage.value, w.number, w.until, w.why, self.runs.get(w.name, 0)]
             for w in self.wishes.values()
         ]
-        return msgspec.msgpack.encode(Kept(self.number, self.held, rows, self.history))
+        return msgspec.msgpack.encode(Kept(self.number, self.held, rows, self.history, self.shape.most))
 
     def load(self, state: bytes) -> None:
         kept = msgspec.msgpack.decode(state, type=Kept)
         self.number, self.held, self.history = kept.number, kept.held, kept.history
-        self.wishes, self.runs = {}, {}
+        self.wishes, self.runs, self.shape = {}, {}, Shape()
+        for quarter, demand in enumerate(kept.seen):
+            self.shape.seen(quarter, demand)
         for *fields, stage, number, until, why, run in kept.wishes:
             wish = Wish(**dict(zip(FIELDS, fields, strict=True)))
             wish.stage, wish.number, wish.until, wish.why = Stage(stage), number, until, why
--- a/landingshift/upkeep/foreman.py
+++ b/landingshift/upkeep/foreman.py
@@ -8,10 +8,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import exp
 from typing import Any
 
 from landingshift.upkeep.book import Book, command
 from landingshift.upkeep.floor import Floor, Machine, Needs
+from landingshift.upkeep.forecast import Line, Shape, expected
 from landingshift.upkeep.order import hopeless, next_ones, taken_back
 from landingshift.upkeep.rings import Served, allowed, worse
 from landingshift.upkeep.wishes import COUNTED, Stage, Wish
@@ -20,8 +22,7 @@
 SETTLE = 3000.0  # ms of its reign that a leader only listens
 STALE = 6000.0  # ms after which a machine that says nothing counts as lost
 SHORT = 400.0  # ms between two looks
-PEAK = 0.9  # of the largest demand of the last minutes that a forecast keeps: load may come back as it went
-FADE = 0.999  # by which that fades a look
+PEAK = 0.9  # of the largest demand of the last minutes that stays: load may come back as it went
 MOST = 10_000
 UNEVEN = 0.02
 
@@ -51,10 +52,12 @@
     spare: float = 500.0
     back: float = 1.0  # minutes from a start until warm, about
     rings: bool = True
+    fades: float = 400_000.0  # ms in which the largest demand fades to a third
 
 
 class Foreman:
-    """`propose(data)` puts an entry to the agreement; `leads(now)` whether this one may speak for it."""
+    """`propose(data)` puts an entry to the agreement; `leads(now)` whether this one may speak for it;
+    `gone(name)` whether the fleet sees that one no more, `names()` all that it has heard of."""
 
     def __init__(
         self,
@@ -63,14 +66,18 @@
         propose: Callable[[bytes], object],
         leads: Callable[[float], bool],
         gone: Callable[[str], bool],
+        names: Callable[[], set[str]],
         wall: Callable[[], float],
         log: Callable[..., None],
     ) -> None:
         self.book, self.plan, self.propose, self.leads = book, plan, propose, leads
-        self.gone, self.wall, self.log = gone, wall, log
+        self.gone, self.names, self.wall, self.log = gone, names, wall, log
         self.reports: dict[str, Report] = {}
         self.since, self.led, self.look_at, self.now = 0.0, False, 0.0, 0.0
-        self.peak, self.hopeless_at = 0.0, -1e9
+        self.peak, self.hopeless_at, self.looked_at = 0.0, -1e9, 0.0
+        self.line = Line()
+        self.quarter = -1  # of an hour of the day that is seen just now, and the most in it
+        self.most = 0.0
         self.touched, self.rest = Served(), Served()
         self.done_names: set[str] = set()
         self.why = ""  # why nobody is let go just now
@@ -78,6 +85,7 @@
 
     def begin(self, now: float) -> None:
         self.since, self.reports, self.peak = now, {}, 0.0
+        self.line, self.quarter, self.most, self.looked_at = Line(), -1, 0.0, now
         self.touched, self.rest, self.asked = Served(), Served(), {}
 
     def put(self, key: str, data: bytes, now: float) -> None:
@@ -147,8 +155,30 @@
     # Looks
 
     def demand(self) -> float:
-        """What is asked for now, and what it was lately: less of it now is no promise that it stays so."""
-        return max(self.asked_for(), PEAK * self.peak)
+        """What is asked for now, what it was lately (less of it now is no promise that it stays so), and what
+        is to be expected until one that leaves now is back."""
+        ahead = expected(self.line, self.book.shape, self.asked_for(), self.wall(), self.away())
+        return max(ahead, PEAK * self.peak)
+
+    def away(self) -> float:
+        """ms until the longest work that might begin now is done and its machine warm."""
+        waiting = [w.minutes for w in self.book.wishes.values() if w.stage is Stage.WISHED]
+        return (max(waiting) + self.plan.back) * 60_000.0 if waiting else 0.0
+
+    def watch(self, now: float) -> None:
+        """What is asked for goes into the line, and once a quarter of an hour into the book."""
+        asked = self.asked_for()
+        self.peak = max(self.peak * exp((self.looked_at - now) / self.plan.fades), asked)
+        self.looked_at = now
+        if now - self.since < SETTLE:
+            return  # not all have reported to it yet
+        self.line.add(now, asked)
+        quarter = Shape.quarter(self.wall())
+        if quarter != self.quarter:
+            if self.quarter >= 0:
+                self.put(f"seen {self.quarter}", command("seen", self.quarter, self.most), now)
+            self.quarter, self.most = quarter, 0.0
+        self.most = max(self.most, asked)
 
     def asked_for(self) -> float:
         """RPCs a second; what a silent machine told last goes to others by now."""
@@ -183,7 +213,7 @@
         self.led = leads
         if not leads:
             return
-        self.peak = max(self.peak * FADE, self.asked_for())
+        self.watch(now)
         wishes, book = self.book.wishes, self.book
         for wish in list(wishes.values()):
             self.see(wish, now)
@@ -206,8 +236,10 @@
             return
         if now - self.hopeless_at >= HOPELESS:
             self.hopeless_at = now
+            names = self.names()
+            whole = not lost and names <= self.reports.keys()
             for wish in [w for w in wishes.values() if w.stage is Stage.WISHED]:
-                why = hopeless(wish, floor, self.wall())
+                why = hopeless(wish, floor, self.wall(), wish.name in names, whole)
                 if why:
                     self.move(wish, Stage.REFUSED, why, now)
         if not wishes:
--- a/landingshift/upkeep/order.py
+++ b/landingshift/upkeep/order.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from itertools import combinations
+from math import ceil
 
 from landingshift.upkeep.floor import Floor
 from landingshift.upkeep.wishes import Stage, Wish
@@ -14,7 +15,7 @@
 
 def weight(wish: Wish, now: float, back: float) -> float:
     """Urgent and long-waiting ones first; of those alike, what is back soonest."""
-    waited = (now - wish.since) / 60_000.0 + 1.0
+    waited = max(0.0, now - wish.since) / 60_000.0 + 1.0  # a wall clock may have been set back
     return wish.urgency * waited / (wish.minutes + back)
 
 
@@ -45,15 +46,17 @@
         if machine is not None:
             zones[machine.zone] = zones.get(machine.zone, 0) + 1
     weights = {w.name: weight(w, now, back) for w in able}
+    tight = rounds_left([w.name for w in able], floor)
     line = sorted(able, key=lambda w: (-weights[w.name], w.name))
     margins = floor.margins(out)
     while line and len(chosen) < most:
         if margins[0] < min(floor.machines[w.name].capacity for w in line) - 1e-9:
             break  # no room for any of them
-        # Zones in turn among those that weigh alike: the one with fewest out.
+        # Among those that weigh alike those whose floor takes most rounds, whose last one ends all; then
+        # zones in turn, the one with fewest out.
         enough = 0.999 * weights[line[0].name]
         alike = [w for w in line if weights[w.name] >= enough]
-        first = min(alike, key=lambda w: (zones.get(floor.machines[w.name].zone, 0), w.name))
+        first = min(alike, key=lambda w: (-tight[w.name], zones.get(floor.machines[w.name].zone, 0), w.name))
         line.remove(first)
         those = [first]
         if first.group:
@@ -77,13 +80,35 @@
     return chosen
 
 
-def hopeless(wish: Wish, floor: Floor, now: float) -> str:
-    """Why a wish can never be met, so that it is refused and not left hanging."""
-    if wish.name not in floor.machines:
-        return "there is no such machine"
+def rounds_left(names: list[str], floor: Floor) -> dict[str, float]:
+    """For each the rounds that its tightest limit needs for all of these; the whole's room moves with demand
+    and is left out."""
+    found = dict.fromkeys(names, 0.0)
+    for limit in floor.limits[1:]:
+        those = [n for n in names if n in limit.of]
+        room = floor.capacity({}, limit.of) - limit.least
+        if those and room > 0.0:
+            need = sum(floor.machines[n].capacity for n in those) / room
+            for name in those:
+                found[name] = max(found[name], float(ceil(need - 1e-9)))
+    voters = [n for n in names if n in floor.voters]
+    at_once = len(floor.voters) - floor.voters_in
+    for name in voters if at_once else ():
+        found[name] = max(found[name], float(ceil(len(voters) / at_once)))
+    return found
+
+
+def hopeless(wish: Wish, floor: Floor, now: float, known: bool = False, whole: bool = True) -> str:
+    """Why a wish can never be met, so that it is refused and not left hanging.
+
+    `known`: the fleet has heard of that machine, though it may say nothing just now; `whole`: nobody is
+    missing. While a zone is down its machines, and those that lean on it, are not beyond hope.
+    """
     if now >= wish.not_after:
         return "its time is over"
-    return floor.never(wish.name)
+    if wish.name not in floor.machines:
+        return "" if known else "there is no such machine"
+    return floor.never(wish.name) if whole else ""
 
 
 def taken_back(wishes: dict[str, Wish], floor: Floor, lost: dict[str, float]) -> list[str]:
@@ -134,17 +159,36 @@
     return count
 
 
-def least_ms(floor_at: Callable[[float], Floor], away: float, step: float = 60_000.0) -> float:
-    """ms before which no order can have all out for `away` ms each: of each limit the room adds up to what
-    its machines need. A bound from below: machines are taken for divisible."""
+def least_ms(floor_at: Callable[[float], Floor], out: float, back: float, step: float = 60_000.0) -> float:
+    """ms before which no order can have all out for `out` ms each and warm again `back` ms later.
+
+    Two bounds from below, the larger counts: of each limit the room adds up to what its machines need, taken
+    for divisible and for warming evenly; and taken whole, all need so many rounds, the last of which warms.
+    """
     first = floor_at(0.0)
+    away = out + back / 2.0
     need = [first.capacity({}, limit.of) * away for limit in first.limits]
     now = 0.0
     while any(left > 0.0 for left in need) and now < 1e9:
         margins = floor_at(now).margins({})
         need = [left - max(0.0, room) * step for left, room in zip(need, margins, strict=True)]
         now += step
-    return now
+    return max(now, whole_rounds(first) * out + back)
+
+
+def whole_rounds(floor: Floor) -> int:
+    """Rounds that no order can do without, machines being out whole: of each limit but the demand's, all of
+    them over as many as its room holds of the smallest; and of the voters, who keep a majority and one."""
+    most = 0
+    for limit in floor.limits[1:]:
+        room = floor.capacity({}, limit.of) - limit.least
+        smallest = min(floor.machines[n].capacity for n in limit.of)
+        at_once = int(room / smallest + 1e-9)
+        if at_once:
+            most = max(most, -(-len(limit.of) // at_once))
+    if len(floor.voters) > floor.voters_in:
+        most = max(most, -(-len(floor.voters) // (len(floor.voters) - floor.voters_in)))
+    return most
 
 
 def dry_run(
--- a/landingshift/upkeep/service.py
+++ b/landingshift/upkeep/service.py
@@ -12,11 +12,11 @@
 from landingshift.fleet.service import Fleet
 from landingshift.net.transport.loop import Timer
 from landingshift.upkeep.book import NAME, Book, command
-from landingshift.upkeep.floor import Machine
 from landingshift.upkeep.foreman import Foreman
+from landingshift.upkeep.machine import Hand, heard
 from landingshift.upkeep.order import dry_run
 from landingshift.upkeep.settings import Settings, plan
-from landingshift.upkeep.wishes import Leave, Stage
+from landingshift.upkeep.wishes import Stage
 
 if TYPE_CHECKING:
     from landingshift.net.program.features import Host
@@ -51,10 +51,7 @@
         self.agreement = cast(Agreement, host.services["policies"])
         self.router, self.loop, self.settings = host.router, host.router.loop, settings
         self.chance = Random(f"{self.router.site.seed} upkeep {self.router.site.name}")
-        self.leave = Leave()
-        self.going, self.stage, self.did = 0, "", self.marked()
-        self.number = 0
-        self.sent: dict[int, float] = {}
+        self.hand = Hand(self.marked())
         self.reads, self.ok, self.all = 0, 0.0, 0.0
         self.load, self.load_at = 0.0, self.loop.now
         self.book = Book()
@@ -63,7 +60,7 @@
             self.agreement.keep(NAME, self.book, self.taken)
             self.foreman = Foreman(
                 self.book, plan(settings), self.agreement.propose, lambda _: self.agreement.leads(),
-                self.gone, points.wall, self.log,
+                self.gone, self.node.members.names, points.wall, self.log,
             )  # fmt: skip
             fleet.talk.calls |= {
                 "upkeep_ask": self.ask, "upkeep_cancel": self.cancel, "upkeep_hold": self.hold,
@@ -100,21 +97,16 @@
         self.report()
         if self.foreman is not None:
             self.foreman.step(self.loop.clock())
-        wait = BUSY if self.stage or (self.foreman is not None and self.book.wishes) else REST
+        wait = BUSY if self.hand.stage or (self.foreman is not None and self.book.wishes) else REST
         self.loop.cancel(self.timer)
         self.timer = self.loop.after(wait * self.chance.uniform(0.9, 1.1), self.tick)
         self.fleet.pass_on()
 
     def report(self) -> None:
-        self.number += 1
-        self.sent = {n: at for n, at in self.sent.items() if n > self.number - 16} | {
-            self.number: self.loop.clock()
-        }
-        mine = self.settings
-        body = [
-            "at", self.number, mine.capacity, mine.model, mine.best, self.warmth(), self.load, self.going,
-            self.did, self.ok, self.all,
-        ]  # fmt: skip
+        mine, now = self.settings, self.loop.clock()
+        body = self.hand.report(
+            now, mine.capacity, mine.model, mine.best, self.warmth(), self.load, self.ok, self.all
+        )
         leader = self.agreement.leader
         if leader == self.node.me.name:
             self.hear(self.node.me, body)
@@ -122,42 +114,27 @@
             self.node.say(leader, ROOM, body)
 
     def hear(self, sender: Record, body: list[Any]) -> None:
-        now = self.loop.clock()
         match body:
-            case ["at", int(number), float(capacity), str(model), bool(best), *rest]:
-                if self.foreman is None or not 0.0 < capacity < 1e9 or len(model) > 16:
-                    return
-                voter = sender.name in self.agreement.voters
-                machine = Machine(sender.name, capacity, sender.zone, model, best, voter)
-                answer = self.foreman.hear(machine, sender.run, rest, now)
-                if answer is None:
-                    return
-                if sender.name == self.node.me.name:
-                    self.told(number, *answer)
-                else:
-                    self.node.say(sender.name, ROOM, ["told", number, *answer])
+            case ["at", *_]:
+                answer = heard(self.foreman, sender, self.agreement.voters, body, self.loop.clock())
+                if answer is not None and sender.name == self.node.me.name:
+                    self.hear(sender, answer)
+                elif answer is not None:
+                    self.node.say(sender.name, ROOM, answer)
             case ["told", int(number), str(stage), int(permission), float(lasts)]:
-                self.told(number, stage, permission, lasts)
-
-    def told(self, number: int, stage: str, permission: int, lasts: float) -> None:
-        asked = self.sent.pop(number, None)
-        if asked is None:
-            return
-        self.stage = stage
-        if lasts > 0.0 and not self.going and self.leave.granted(permission, asked, lasts):
-            points.reach("upkeep.permitted")
-            self.go()
+                if self.hand.told(number, stage, permission, lasts):
+                    points.reach("upkeep.permitted")
+                    self.go()
 
     def go(self) -> None:
         """Leaves, if its permission still holds by its own clock just now."""
-        if self.router.draining or not self.leave.may_go(self.loop.clock()):
-            self.log("upkeep_late", number=self.leave.number)
+        if self.router.draining or not self.hand.goes(self.loop.clock()):
+            self.log("upkeep_late", number=self.hand.leave.number)
             return
-        self.going = self.leave.number
-        self.leave.used()
+        going = self.hand.going
         self.write_mark()
-        points.note("left", self.node.me.name, self.going)
-        self.log("upkeep_leaves", number=self.going)
+        points.note("left", self.node.me.name, going)
+        self.log("upkeep_leaves", number=going)
         self.report()
         self.fleet.pass_on()
         points.reach("upkeep.draining")
@@ -177,7 +154,7 @@
             return
         try:
             with open(self.settings.mark + ".new", "w") as file:
-                file.write(f"{self.node.me.name} {self.going}\n")
+                file.write(f"{self.node.me.name} {self.hand.going}\n")
                 file.flush()
                 os.fsync(file.fileno())
             os.replace(self.settings.mark + ".new", self.settings.mark)
@@ -283,19 +260,19 @@
     def here(self, _params: list[Any]) -> dict[str, Any]:
         """What this server knows of its own part."""
         return {
-            "name": self.node.me.name, "stage": self.stage, "going": self.going, "warmth": self.warmth(),
-            "load": self.load, "leader": self.agreement.leader,
+            "name": self.node.me.name, "stage": self.hand.stage, "going": self.hand.going,
+            "warmth": self.warmth(), "load": self.load, "leader": self.agreement.leader,
         }  # fmt: skip
 
     def finish(self) -> None:
         """Drained. With a permission, the operator's work is done now, in a process of its own."""
-        if not self.going or not self.settings.work:
+        if not self.hand.going or not self.settings.work:
             return
         try:
             done = subprocess.run(self.settings.work, timeout=self.settings.work_s, stdin=subprocess.DEVNULL)
-            self.log("upkeep_worked", number=self.going, status=done.returncode)
+            self.log("upkeep_worked", number=self.hand.going, status=done.returncode)
         except (OSError, subprocess.TimeoutExpired) as err:
-            self.log("upkeep_work_failed", number=self.going, error=str(err))
+            self.log("upkeep_work_failed", number=self.hand.going, error=str(err))
 
 
 def attach(host: Host, settings: Settings) -> Upkeep:
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -6,10 +6,11 @@
 from typing import Any
 
 from landingshift.agreement.shelf import Shelf, entry
-from landingshift.lab.upkeep import VIRTUAL, virtual
+from landingshift.lab.upkeep import VIRTUAL, Day, virtual
 from landingshift.upkeep.book import Book, command
 from landingshift.upkeep.floor import Floor, Machine, Needs
-from landingshift.upkeep.order import dry_run, hopeless, next_ones, taken_back
+from landingshift.upkeep.forecast import QUARTER, WIDTH, Line, Shape, expected
+from landingshift.upkeep.order import dry_run, hopeless, least_ms, next_ones, rounds_left, taken_back
 from landingshift.upkeep.rings import Served, allowed, worse
 from landingshift.upkeep.wishes import MOVES, BadMove, Leave, Stage, Wish
 
@@ -90,6 +91,75 @@
         self.assertFalse(leave.may_go(2750.0))
 
 
+class Forecast(unittest.TestCase):
+    def line(self, *means: float, width: float = WIDTH) -> Line:
+        line = Line()
+        for i, mean in enumerate(means):
+            line.add(5e6 + i * width, mean)
+        return line
+
+    def test_the_line_of_the_last_minutes(self) -> None:
+        flat, rise = [100.0] * 10, [100.0 + 10.0 * i for i in range(10)]
+        for means, ahead, low, high in [
+            ([], 60_000.0, 0.0, 0.0),
+            (rise[:3], 60_000.0, 0.0, 0.0),  # three points are no line
+            (flat, 600_000.0, 100.0, 100.0),
+            (rise, 3 * WIDTH, 219.0, 221.0),
+            (rise, 1e9, 279.0, 281.0),  # no further ahead than it was looked back
+            (rise[::-1], 600_000.0, 99.0, 101.0),  # a fall is no promise
+            ([100.0, 140.0, 90.0, 150.0, 110.0, 160.0], 2 * WIDTH, 160.0, 230.0),  # uneven: taken higher
+        ]:
+            with self.subTest(means=means, ahead=ahead):
+                found = self.line(*means).ahead(ahead)
+                self.assertTrue(low <= found <= high, found)
+
+    def test_the_line_forgets_what_is_too_old_and_what_a_pause_left_out(self) -> None:
+        line = self.line(*[900.0] * 10)
+        for i in range(100, 110):
+            line.add(5e6 + i * WIDTH, 50.0)
+        self.assertAlmostEqual(line.ahead(600_000.0), 50.0)
+
+    def test_the_day_before_as_today_is_to_it(self) -> None:
+        shape = Shape()
+        for quarter, most in ((10, 100.0), (11, 300.0), (12, 50.0)):
+            shape.seen(quarter, most)
+        wall = 10.0 * QUARTER
+        for at, ms, now, want in [
+            (wall, 0.0, 100.0, 0.0),
+            (wall, 60_000.0, 100.0, 100.0),
+            (wall, QUARTER, 100.0, 300.0),
+            (wall, QUARTER, 120.0, 360.0),  # a fifth more than the day before
+            (wall, QUARTER, 1000.0, 600.0),  # at most twice
+            (wall, QUARTER, 1.0, 150.0),  # at least half
+            (wall + QUARTER, QUARTER, 300.0, 300.0),
+            (wall + 5 * QUARTER, QUARTER, 300.0, 0.0),  # nobody has seen it
+        ]:
+            with self.subTest(at=at, ms=ms, now=now):
+                self.assertAlmostEqual(shape.ahead(at, ms, now), want)
+        self.assertEqual(expected(Line(), shape, 5.0, wall + 5 * QUARTER, QUARTER), 5.0)
+
+    def test_nobody_goes_into_a_morning_that_the_book_knows(self) -> None:
+        day = Day(1, 10, zones=2, cold=1000.0)
+        day.minutes, day.peak = 10.0, 0.4  # a third of it now
+        for _ in range(12):
+            day.step()
+        quarter = Shape.quarter(day.now)
+        now = day.foreman.asked_for()
+        for some in range(96):
+            day.book.shape.seen(some, 7.0 * now if some == quarter + 1 else now)
+        day.now += 0.6 * QUARTER - day.now % QUARTER
+        day.foreman.since = day.now - 10_000.0
+        day.wish(["n7"])
+        for _ in range(6):
+            day.step()
+        self.assertGreater(day.foreman.demand(), 6.0 * now)
+        self.assertIs(day.book.wishes["n7"].stage, Stage.WISHED)
+        self.assertIn("the whole", day.foreman.why)
+        book = Book()
+        book.load(day.book.dump())
+        self.assertEqual(book.shape.most, day.book.shape.most)
+
+
 class Order(unittest.TestCase):
     def test_who_goes_next(self) -> None:
         for machines, wanted, lost, names in [
@@ -108,6 +178,23 @@
                 found = next_ones(wanted, Floor(machines, NONE, 200.0), lost, 1.0)
                 self.assertEqual(found, names)
 
+    def test_those_whose_floor_takes_most_rounds_go_first_and_none_is_counted_out_of_turn(self) -> None:
+        # One of five voters may be out, so that they take five rounds: begun last, they would end all.
+        machines = [Machine(f"n{i}", 100.0, f"z{i % 2}", voter=i > 4) for i in range(10)]
+        floor = Floor(machines, Needs(0.0, 0.2, 0.0, 0.0), 0.0)
+        names = [m.name for m in machines]
+        self.assertEqual(rounds_left(names, floor)["n7"], 5.0)
+        self.assertEqual(rounds_left(names, floor)["n0"], 2.0)
+        self.assertEqual(next_ones(wishes(*names), floor, {}, 1.0)[0], "n5")
+        self.assertEqual(least_ms(lambda _: floor, 10.0, 1.0, 1.0), 51.0)
+
+    def test_a_wall_clock_that_was_set_back_turns_no_order_round(self) -> None:
+        # Ages below nothing made the most urgent the last.
+        wanted = wishes("n0") | wishes("n1", urgency=9.0)
+        for wish in wanted.values():
+            wish.since = 3.6e6
+        self.assertEqual(next_ones(wanted, Floor(fleet(4), NONE, 300.0), {}, 0.0), ["n1"])
+
     def test_one_who_must_be_alone_is_not_passed_over_for_ever(self) -> None:
         wanted = wishes("n0", alone=True, urgency=2.0) | wishes("n1", "n2")
         wanted["n2"].stage = Stage.OUT
@@ -117,6 +204,9 @@
         floor = Floor(fleet(4), Needs(0.0, 0.9, 0.0, 0.0), 0.0)
         self.assertIn("zone z0", hopeless(Wish("n0", 1.0, 0.0), floor, 0.0))
         self.assertIn("no such machine", hopeless(Wish("x", 1.0, 0.0), floor, 0.0))
+        # A leader that was chosen while a zone was down refused for good what only had to wait for it.
+        self.assertEqual(hopeless(Wish("x", 1.0, 0.0), floor, 0.0, known=True), "")
+        self.assertEqual(hopeless(Wish("n0", 1.0, 0.0), floor, 0.0, whole=False), "")
         self.assertIn("over", hopeless(Wish("n0", 1.0, 0.0, not_after=5.0), floor, 6.0))
         busy = Floor(fleet(4), NONE, 400.0)  # no room at this demand: it waits
         self.assertEqual(hopeless(Wish("n0", 1.0, 0.0), busy, 0.0), "")
@@ -203,6 +293,6 @@
                 self.assertEqual(row.broken, [], row.figures)
 
     def test_each_defence_is_missed(self) -> None:
-        for away, row in [("floor", "floor_kept"), ("end", "drawn")]:
+        for away, row in [("floor", "floor_kept"), ("end", "late_word")]:
             with self.subTest(away=away):
                 self.assertNotEqual(virtual(row, 15, 1, away).broken, [])
--- a/tests/test_upkeep_service.py
+++ b/tests/test_upkeep_service.py
@@ -47,6 +47,15 @@
     def test_load_leaves_no_room(self) -> None:
         self.holds("real_overloaded")
 
+    def test_all_are_replaced_at_full_load(self) -> None:
+        self.holds("real_at_full_load")
+
+    def test_a_notice_to_a_zone_while_two_are_out(self) -> None:
+        self.holds("real_notice_to_a_zone")
+
+    def test_a_cold_start_of_a_zone_while_two_are_out(self) -> None:
+        self.holds("real_cold_zone")
+
     def test_a_change_of_policy_meanwhile(self) -> None:
         self.holds("real_with_a_change")
 
