--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -454,7 +454,7 @@
         self.assertEqual((len(self.router.rpcs), len(self.router.by_id)), (0, 0))
 
     def test_deadlines_and_a_drain_move_as_they_are(self) -> None:
-        # A taker that counted the wait anew would answer at 1,400 ms; what a full machine adds must not matter.
+        # A taker that counted the wait anew would answer at 1,400 ms; a full machine must not look like one.
         g = self.gateway()
         g.sendall(self.rpc("m", b"late", wait="800"))
         self.command()
