--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from pathlib import Path
 
 import click
 
@@ -107,6 +108,111 @@
     show(experiment(repeats, seed, servers, broken or "", only), file)
 
 
+@group.command()
+@click.option("--days", type=click.IntRange(1, 10_000_000), default=400, show_default=True)
+@click.option("--minutes", type=click.FloatRange(0.05, 10_000.0), default=10_000.0, help="At most so long.")
+@click.option("--repeats", type=click.IntRange(1, 1000), default=1, help="Real runs.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Failing days, made smaller, to this folder.")
+@processes(200)
+@common(
+    ["lease", "ask", "sure", "arm", "disk", "quiet", "booking", "end", "floor", "due", "grace", "suspect"]
+)
+def fleet(
+    days: int,
+    minutes: float,
+    repeats: int,
+    keep: str | None,
+    servers: int,
+    seed: int,
+    file: str | None,
+    broken: str | None,
+    only: str | None,
+) -> None:
+    """All rooms at once under faults drawn from the seed: virtual days, or real processes for minutes."""
+    from landingshift.lab import fleet as town
+    from landingshift.lab import keep as files
+
+    if broken:
+        show([town.without(broken, days, seed)], file)
+        return
+    if servers:
+        from landingshift.lab.fleet_real import many
+
+        show(many(servers, seed, min(minutes, 600.0), repeats), file)
+        return
+    for row, whole in town.experiment(days, seed, minutes=minutes):
+        if file:
+            files.save(file, row, whole)
+        if keep:
+            for path in files.keep(keep, [one["day"] for one in row.series["smallest"]]):
+                click.echo(f"kept   {path}")
+        for one in row.series["smallest"]:
+            click.echo("\n".join(["", f"{one['promise']}:", *one["told"]]))
+        show([row], None)
+
+
+@group.command()
+@click.argument("day", type=click.Path(exists=True, dir_okay=False))
+@click.option("--log", is_flag=True, help="All that happened, a line each.")
+@click.option("--break", "broken", help="Without this defence.")
+def replay(day: str, log: bool, broken: str | None) -> None:
+    """Plays a kept day again, and says what does not hold."""
+    from landingshift.lab import days
+    from landingshift.lab.promises import FLEET
+    from landingshift.lab.promises import broken as judged
+    from landingshift.lab.town import OVERLAP, Town
+
+    try:
+        found = days.read(Path(day).read_bytes())
+    except ValueError as err:
+        raise click.UsageError(f"{day}: {err}") from err
+    click.echo("\n".join(days.told(found)))
+    history = Town(found, broken or "").play()
+    if log:
+        for at, *rest in history:
+            click.echo(f"{at:10.1f}  {' '.join(str(r) for r in rest)}")
+    wrong = judged(history, OVERLAP, FLEET)
+    click.echo("\n".join(wrong) if wrong else "all promises hold")
+    raise SystemExit(BROKEN if wrong else 0)
+
+
+@group.command()
+@click.argument("day", type=click.Path(exists=True, dir_okay=False))
+@click.option("--plays", type=click.IntRange(1, 100_000), default=400, show_default=True)
+@click.option("--break", "broken", help="Without this defence.")
+def reduce(day: str, plays: int, broken: str | None) -> None:
+    """Makes a failing day smaller, into a file beside it."""
+    from landingshift.lab import days
+    from landingshift.lab.fleet import smaller
+
+    try:
+        found = days.read(Path(day).read_bytes())
+    except ValueError as err:
+        raise click.UsageError(f"{day}: {err}") from err
+    least, promise, played = smaller(found, broken or "", plays)
+    if not promise:
+        raise click.UsageError(f"{day}: all promises hold on it")
+    beside = Path(day).with_suffix(".small.json")
+    beside.write_bytes(days.written(least))
+    click.echo("\n".join([f"{promise}, after {played} plays, in {beside}:", *days.told(least)]))
+
+
+@group.command()
+@click.argument("found", type=click.Path(exists=True, dir_okay=False))
+@click.argument("page", type=click.Path(dir_okay=False))
+def report(found: str, page: str) -> None:
+    """One HTML page of what `lab fleet --json` wrote."""
+    from landingshift.lab import keep
+    from landingshift.lab import report as html
+
+    try:
+        run = keep.load(found)
+    except ValueError as err:
+        raise click.UsageError(str(err)) from err
+    Path(page).write_text(html.page(run.figures, run.broken, run.smallest, run.seen(), run.rested))
+    click.echo(page)
+
+
 def show(found: Iterable[Row], file: str | None, plot: str | None = None) -> None:
     """A line a row as it is done; ends with status 1 where a promise did not hold."""
     rows = []
--- /dev/null
+++ b/landingshift/lab/home.py
@@ -0,0 +1,508 @@
+"""One server in virtual time with all that decides in it: the fleet's node, the common start, the policies'
+part, work on machines, and the module behind its `Actions`. Holds no rule of theirs: only what the services
+that carry them do on a real loop, and an engine, a disk and gateways' RPCs to decide about.
+
+`town.away` names one defence that is taken from all servers; a promise must then be found broken.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from functools import partial
+from math import inf
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from landingshift.agreement.voter import Stored
+from landingshift.brain import Job, Server
+from landingshift.coldstart.agent import Agent, Seen
+from landingshift.coldstart.seek import Seek
+from landingshift.coldstart.strain import Strain
+from landingshift.fleet.members import Member
+from landingshift.fleet.messages import GONE, Message, Record, State
+from landingshift.fleet.node import Node, Times
+from landingshift.interface import (
+    Advert,
+    Below,
+    Effect,
+    Gauges,
+    Method,
+    Outcome,
+    Rpc,
+    Settings,
+    Stopping,
+    Tenant,
+)
+from landingshift.lab.virtual import Address, Host
+from landingshift.policies.part import Part
+from landingshift.upkeep.book import NAME, Book
+from landingshift.upkeep.foreman import Foreman
+from landingshift.upkeep.machine import Hand, heard
+
+if TYPE_CHECKING:
+    from landingshift.lab.town import Town
+
+PORT = 7101
+LOOK = 200.0  # ms between two steps of the common start
+BUSY, REST = 500.0, 2000.0  # between two reports to the leader of work
+STOP = 3000.0  # from a notice to the end of the process
+GRACE = 300.0  # of a drain: what comes after it is not run
+CORES, WORK = 2, 250.0  # ms of a core that one RPC takes
+CAPACITY = CORES * 1000.0 / WORK  # RPCs a second
+FILL = 8  # calls that fill a server's cache; one RPC in FILL calls once it is filled
+COLD = 2000.0
+WAIT = 3000.0  # ms that a caller waits
+STORE = 300.0  # longest that a call is waited for
+RUNS = 100_000
+
+
+def address(i: int) -> Address:
+    return f"10.0.{i // 250}.{i % 250 + 1}", PORT
+
+
+def method(criticality: float, calls: bool) -> Method:
+    return Method(Effect.IDEMPOTENT, 1500.0, 0.0, WAIT, criticality, 0.5, 5000.0, calls, 0.5)
+
+
+METHODS = (method(1.0, True), method(5.0, False))
+
+
+def settings(servers: int, tenant: Tenant) -> Settings:
+    return Settings(
+        methods=list(METHODS), tenants=[tenant], over_share_worth=0.1, by_work=False, servers=servers,
+        cores=CORES, cold=True, cold_from=0.3, cold_time=COLD, memory_kb=100_000.0, run_factor=4.0,
+        key_kb=1.0,
+        share_for=0.0, stopping=Stopping.NONE, below=Below.SHARED, calls_out=50.0, calls_over=5000.0,
+        linger=100.0, advert=Advert.NONE, deadline_told=True, marks_retry=True, hold_off_max=1000.0,
+        link_idle=30_000.0, drain_grace=GRACE, crowd=8.0,
+    )  # fmt: skip
+
+
+@dataclass(slots=True, eq=False)
+class Sent(Rpc):
+    """One that was read; `number` is its own, whoever reads it."""
+
+    number: int = 0
+
+
+@dataclass(slots=True)
+class Disk:
+    """What lasts when its server does not. `full`: it takes nothing; `dies`: at the next write, unwritten."""
+
+    journal: Stored | None
+    mark: int = 0
+    full: bool = False
+    dies: float = 0.0  # ms that the server is then away; 0: it does not
+
+
+class Home:
+    def __init__(self, town: Town, i: int, run: int, host: Host) -> None:
+        self.town, self.i, self.name, self.host, self.away = town, i, f"n{i}", host, town.away
+        now, chance = host.clock(), town.chance_of(i, run)
+        self.disk = town.disks[i]
+        me = Record(self.name, *address(i), f"z{i % 2}", chance.getrandbits(40), 0, 0, State.ALIVE, "", {})
+        times = Times(probe=20.0, suspect=20.0) if self.away == "suspect" else Times()
+        self.node = Node(me, town.peers(i), times, 1000, chance, now, self.heard_of)
+        self.node.watchers.append(self.sees)
+        self.node.rooms |= {"policies": self.hear_policies, NAME: self.hear_work}
+        self.agent = Agent(self.node, town.plan, chance, now)
+        if self.away == "quiet" and self.agent.lending is not None:
+            lending = self.agent.lending
+            lending.shares.quiet_until = lending.places.lender.quiet_until = now
+        self.seek = Seek(town.day.servers, 20.0, True, 3000.0, chance, now)
+        self.strain = Strain()
+        journal = copied(self.disk.journal) if self.disk.journal is not None else None
+        self.part = Part(
+            self.name, me.run, town.rules, lambda policy: "", journal, chance, now, self.wall, town.times
+        )
+        self.hand = Hand(self.disk.mark)
+        self.book = Book()
+        self.foreman: Foreman | None = None
+        if self.part.voter is not None:
+            self.part.shelf.add(NAME, self.book)
+            self.part.hearers.append(self.taken)
+            self.foreman = Foreman(
+                self.book, town.work, self.propose, self.leads, self.gone, self.node.members.names, self.wall,
+                lambda *_, **__: None,
+            )  # fmt: skip
+        self.without()
+        self.tenant = Tenant(100_000.0)
+        self.server = Server(settings(town.day.servers, self.tenant), chance.getrandbits(32), self, now)
+        if self.away == "due":
+            self.server.sweep = lambda job: inf  # type: ignore[method-assign]
+        self.jobs: dict[int, Job] = {}  # without an answer, by their numbers
+        self.engine: dict[int, Job] = {}  # on the cores or at a call, whether or not anybody waits for them
+        self.busy: list[float] = []  # when each run on the cores ends
+        self.filled = self.runs = 0
+        self.laid, self.may, self.good = -1, False, False
+        self.server.stand_aside(True)
+        self.share = -1.0
+        self.reads, self.reads_at, self.load = 0, now, 0.0
+        self.ok = self.all = 0.0
+        self.look_at, self.work_at = now + LOOK * chance.random(), now + REST * chance.random()
+        self.ends_at = inf  # when it is stopped after a notice
+        self.held: dict[str, tuple[float, ...]] = {}  # loans as the history has them
+        self.opened = False
+        self.hangs = 0.0  # until when its engine says nothing, ms of the world
+        self.pace = chance
+
+    def without(self) -> None:
+        """Takes the defence that is away, where it lies in one of the rooms' objects."""
+        voter, desk, lending = self.part.voter, self.part.desk, self.agent.lending
+        if self.away == "sure" and voter is not None:
+            voter.sure = lambda now: voter.role.value == "leader"  # type: ignore[method-assign]
+        if self.away == "arm" and desk is not None:
+            real = desk.waits
+            desk.waits = lambda now: [w for w in real(now) if w[1] != "away"]  # type: ignore[method-assign]
+        if self.away == "end":
+            self.hand.goes = self.goes_anyhow  # type: ignore[method-assign]
+        if self.away == "booking" and lending is not None:
+            asked = lending.shares.asked
+
+            def forgets(name: str, *rest: Any) -> float | None:
+                amount = asked(name, *rest)
+                if amount is not None and name in lending.shares.grants:
+                    lending.shares.grants[name].booked = amount
+                return amount
+
+            lending.shares.asked = forgets  # type: ignore[method-assign,assignment]
+
+    def goes_anyhow(self, now: float) -> bool:
+        self.hand.going = self.hand.leave.number
+        self.hand.leave.used()
+        return True
+
+    # What it notes
+
+    def clock(self) -> float:
+        return self.host.clock()
+
+    def wall(self) -> float:
+        return self.town.world.now + self.town.walls[self.i]
+
+    def note(self, what: str, *values: Any) -> None:
+        self.town.note(what, self.name, *values)
+
+    def heard_of(self, event: str, **fields: Any) -> None:
+        if event == "fleet_dead":
+            self.note("buried", fields["name"])
+
+    def sees(self, member: Member, was: State | None) -> None:
+        gone = member.record.state in GONE
+        if gone != (was is None or was in GONE):
+            self.note("sees", member.record.name, not gone)
+
+    # For the world
+
+    def next(self) -> float:
+        return min(
+            self.node.next(), self.part.next(), self.server.alarm, self.look_at, self.work_at, self.ends_at
+        )
+
+    def hear(self, message: Any, now: float) -> None:
+        match message:
+            case Message():
+                self.node.hear(message, now)
+            case "read", Sent() as rpc, waited:
+                self.read(rpc, waited, now)
+            case "notice", float(away):
+                self.drain(away)
+            case "done", Job() as job, float(ms):
+                self.server.now = now
+                self.server.ended(job, Outcome.OK, ms)
+                self.engine.pop(job.rpc.number, None)  # type: ignore[attr-defined]
+                if self.jobs.pop(job.rpc.number, None) is not None:  # type: ignore[attr-defined]
+                    self.answer(job.rpc, "ok")
+            case "needs", Job() as job:
+                self.server.now = now
+                self.strain.needed(now)
+                self.server.wants_call(job)
+                self.cut(job)
+            case "called", Job() as job, bool(good), float(ms):
+                self.server.now = now
+                self.strain.called(now, good, ms)
+                self.filled += good
+                self.server.call_done(job, Outcome.OK if good else Outcome.NO_ANSWER, ms)
+                if not good:
+                    self.cut(job)
+
+    def tick(self, now: float) -> None:
+        if self.node.next() <= now:
+            self.node.tick(now)
+        if self.part.next() <= now:
+            self.part.tick(now)
+        if now >= self.look_at:
+            self.look_at = now + LOOK
+            self.look(now)
+        if now >= self.work_at:
+            self.work(now)
+        if now >= self.server.alarm:
+            self.server.now = now
+            busy = len(self.busy)
+            self.server.woken(Gauges(min(1.0, busy / CORES), float(busy), 3.0))
+
+    def take_out(self) -> list[tuple[Address, Any]]:
+        """The end of a pass: the module settles, what must be on disk is written, then messages go."""
+        now = self.clock()
+        self.decide(now)
+        if now >= self.ends_at or (self.ends_at < inf and not self.jobs):
+            self.town.ended(self)  # all that this pass had to say to callers is said
+            return []
+        for _ in range(8):
+            if not self.save():
+                break
+            out = self.part.take_out()
+            for to, body in out:
+                self.node.say(to, "policies", body)
+            if not out:
+                break
+        return self.node.take_out() if self.host.up else []
+
+    # Disk, policies, and by what the module decides
+
+    def save(self) -> bool:
+        stored = self.part.unsaved()
+        if stored is None:
+            return True
+        if self.disk.full:
+            return False
+        if self.disk.dies:
+            away, self.disk.dies = self.disk.dies, 0.0
+            self.town.kill(self.i, away)
+            return False
+        if self.away != "disk":
+            self.disk.journal = copied(stored)
+        self.part.saved(self.clock())
+        self.part.deliver(self.clock())
+        return True
+
+    def decide(self, now: float) -> None:
+        f, server = self.part.follower, self.server
+        may = f.may(now) or (f.joined and self.away == "lease") or self.away == "ask"
+        server.now = now
+        if f.version > self.laid:
+            self.laid = f.version
+            server.adopted()
+        if may != self.may:
+            self.may = may
+            if server.leave_at is None or not may:
+                server.stand_aside(not may)
+        server.settle()
+
+    def hear_policies(self, sender: Record, body: list[Any]) -> None:
+        self.part.hear(sender.name, body, self.clock())
+
+    def propose(self, data: bytes) -> bool:
+        voter = self.part.voter
+        return voter is not None and voter.propose(data) is not None
+
+    def leads(self, _now: float = 0.0) -> bool:
+        return self.part.voter is not None and self.part.voter.sure(self.clock())
+
+    # The common start
+
+    def warmth(self) -> float:
+        if not self.opened:
+            return 0.0
+        return min(1.0, (self.clock() - self.server.born) / COLD, self.filled / FILL)
+
+    def look(self, now: float) -> None:
+        self.node.now = now
+        started = self.agent.start
+        seen = Seen(
+            warmth=self.warmth(), need=max(1.0, 1.25 * self.strain.need(now)) if started.open else 0.0,
+            work=self.server.values.size(now) / 2.0,
+            strain=self.strain.value(now, self.agent.told_base), base=self.strain.base,
+        )  # fmt: skip
+        if self.agent.step(now, seen):
+            self.opened = started.open
+        share = self.agent.share(now)
+        if share != self.share:
+            self.share = share
+            self.server.now = now
+            self.server.use_below(share)
+        if self.town.list_up and self.seek.step(now, self.node.joined):
+            self.seek.over(now, True)
+            self.node.add_peers(self.town.peers(self.i))
+        for lender, loans in self.agent.loans.items():
+            had = (
+                loans.share.held, self.host.world_time(loans.share.end), loans.place.held,
+                self.host.world_time(loans.place.end),
+            )  # fmt: skip
+            if self.held.get(lender) != had:
+                self.held[lender] = had
+                self.note("loan", lender, *had)
+
+    # Work on machines
+
+    def work(self, now: float) -> None:
+        if now - self.reads_at >= 1000.0:
+            self.load, self.reads, self.reads_at = self.reads * 1000.0 / (now - self.reads_at), 0, now
+        self.node.now = now
+        self.report(now)
+        if self.foreman is not None:
+            self.foreman.step(now)
+        busy = self.hand.stage or (self.foreman is not None and self.book.wishes)
+        self.work_at = now + (BUSY if busy else REST) * self.pace.uniform(0.9, 1.1)
+
+    def report(self, now: float) -> None:
+        warmth = self.warmth() if self.ends_at == inf else 0.0
+        body = self.hand.report(now, CAPACITY, f"m{self.i % 2}", False, warmth, self.load, self.ok, self.all)
+        leader = self.part.follower.leader
+        if leader == self.name:
+            self.hear_work(self.node.me, body)
+        elif leader:
+            self.node.say(leader, NAME, body)
+
+    def hear_work(self, sender: Record, body: list[Any]) -> None:
+        match body:
+            case ["at", *_]:
+                answer = heard(self.foreman, sender, self.part.follower.voters, body, self.clock())
+                if answer is not None and sender.name == self.name:
+                    self.hear_work(sender, answer)
+                elif answer is not None:
+                    self.node.say(sender.name, NAME, answer)
+            case ["told", int(number), str(stage), int(permission), float(lasts)]:
+                if self.hand.told(number, stage, permission, lasts) and self.hand.goes(self.clock()):
+                    self.disk.mark = self.hand.going
+                    wish = self.town.permitted(self.name)
+                    self.note("left", self.hand.going, wish)
+                    self.report(self.clock())
+                    self.drain(self.town.work_ms(self.name))
+
+    def gone(self, name: str) -> bool:
+        record = self.node.members.get(name)
+        return record is None or record.state in GONE
+
+    def taken(self, now: float) -> None:
+        if self.foreman is not None:
+            self.foreman.look_at = min(self.foreman.look_at, now)
+
+    def drain(self, away: float) -> None:
+        """A notice, from outside or by a permission; `away` ms after its end it is started again."""
+        if self.ends_at < inf:
+            return
+        now = self.clock()
+        self.note("drains")
+        self.node.leave(now)
+        self.server.now = now
+        self.server.quiesce(STOP)
+        if self.away == "grace":
+            self.server.run_until = inf
+        self.ends_at = now + STOP
+        self.town.back_after[self.i] = away
+
+    # RPCs and the engine
+
+    def read(self, rpc: Sent, waited: float, now: float) -> None:
+        self.reads += 1
+        rpc.waited = waited + 1.0
+        rpc.remaining = WAIT - rpc.waited
+        self.note("read", rpc.number, self.town.world.now + rpc.remaining)
+        self.server.now = now
+        # An answer may come within the call that reads it.
+        job = self.server.read(rpc)
+        if job.at is not None:
+            self.jobs[rpc.number] = job
+
+    def answer(self, rpc: Rpc, how: str) -> None:
+        assert isinstance(rpc, Sent)
+        self.all += 1.0
+        self.ok += how == "ok"
+        self.jobs.pop(rpc.number, None)
+        self.note("answer", rpc.number, how)
+        if how == "pushed_back" and self.may:
+            self.decided()
+
+    def decided(self) -> None:
+        f = self.part.follower
+        self.note("decided", max(0, f.version), f.policy)
+
+    def run(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Sent)
+        self.note("run", rpc.number)
+        self.decided()
+        job = self.engine[rpc.number] = self.jobs[rpc.number]
+        now, world = self.town.world.now, self.town.world
+        self.busy = [end for end in self.busy if end > now]
+        free = sorted(self.busy)[-CORES] if len(self.busy) >= CORES else now
+        end = max(now, free) + WORK
+        self.busy.append(end)
+        self.runs += 1
+        calls = rpc.method.calls and (self.filled < FILL or self.runs % FILL == 0)
+
+        world.at(end, lambda: self.arrive(("needs", job) if calls else ("done", job, world.now - now)))
+
+    def call(self, rpc: Rpc, allow: float) -> None:
+        assert isinstance(rpc, Sent)
+        job, world = self.engine[rpc.number], self.town.world
+        good, took = self.town.store.call(world.now)
+        wait = min(took, allow, STORE)
+        good = good and took <= wait
+        world.after(wait, partial(self.arrive, ("called", job, good, wait)))
+        if good:
+            world.after(wait + 1.0, partial(self.arrive, ("done", job, WORK + wait)))
+
+    def cut(self, job: Job) -> None:
+        """The engine ends a run at its call once its RPC has been answered."""
+        assert isinstance(job.rpc, Sent)
+        if job.rpc.number not in self.jobs:
+            self.town.world.after(1.0, partial(self.arrive, ("done", job, WORK)))
+
+    def skip(self, rpc: Rpc) -> None:
+        assert isinstance(rpc, Sent)
+        job = self.engine[rpc.number]
+        self.town.world.after(1.0, partial(self.arrive, ("done", job, WORK)))
+
+    def arrive(self, message: Any) -> None:
+        """Of its engine, which may hang."""
+        if self.town.world.now < self.hangs:
+            self.town.world.at(self.hangs, partial(self.arrive, message))
+        elif self.host.up:
+            self.host.arrive(message)
+
+    def push_back(self, rpc: Rpc, hold_off: float, final: bool) -> None:
+        self.answer(rpc, "pushed_back")
+
+    def abort(self, rpc: Rpc) -> None:
+        self.answer(rpc, "aborted")
+
+    def health(self, good: bool, cheap: bool) -> None:
+        self.good = good
+
+    def stop(self, rpc: Rpc) -> None: ...
+    def keep(self, rpc: Rpc, time: float) -> None: ...
+    def forget(self, rpc: Rpc) -> None: ...
+    def join(self, rpc: Rpc) -> None: ...
+    def closed(self, rpc: Rpc) -> None: ...
+    def advertise(self, amount: float) -> None: ...
+    def reap(self, idle: float) -> None: ...
+    def wake(self, delay: float) -> None: ...
+    def log(self, text: str) -> None: ...
+
+    @property
+    def listed(self) -> bool:
+        """Whether gateways may hear of it: as services hold its health back on a real server."""
+        return self.good and self.agent.start.open and self.may and self.ends_at == inf
+
+    def sizes(self) -> dict[str, int]:
+        """Of all that could grow, against the bounds that `promises` has."""
+        node, part, follower = self.node, self.part, self.part.follower
+        found = {
+            "out": len(node.out), "errands": len(node.errands), "book": len(node.book),
+            "table": len(node.members.table), "words": len(part.errands), "answers": len(part.answers),
+            "sent": len(follower.sent), "reports": len(self.hand.sent), "jobs": len(self.jobs),
+        }  # fmt: skip
+        if part.voter is not None:
+            found |= {"log": len(part.voter.stored.entries), "votes": len(part.voter.out)}
+        return found
+
+
+def copied(stored: Stored) -> Stored:
+    """Entries never change, so that their list alone is copied."""
+    return replace(stored, entries=list(stored.entries))
+
+
+def text(number: int) -> bytes:
+    return msgspec.msgpack.encode({"methods": {"m": {"criticality": float(number + 2)}}})
--- a/landingshift/lab/policy_real.py
+++ b/landingshift/lab/policy_real.py
@@ -167,6 +167,16 @@
         if not good:
             must(row, False, f"not all at version {version}: {[self.status(i) for i in self.up()]}")
 
+    def agreed(self, row: Row, wait: float) -> None:
+        """Until all decide by one version, whichever: a change that was under way may still pass."""
+
+        def there() -> bool:
+            found = [self.status(i) for i in self.up()]
+            return all(s.get("decides") for s in found) and len({s["version"] for s in found}) == 1
+
+        good = self.rig.until(wait, there)
+        must(row, good, f"not all decide by one version: {[self.status(i) for i in self.up()]}")
+
     def cut(self, rule: Callable[[str, str], bool]) -> None:
         self.rig.do(lambda: setattr(self.rig.switch, "cut", rule))
 
@@ -612,8 +622,7 @@
     )
     for id in c.ids:
         c.ended(0, id, 2.0)
-    newest = max(c.status(i).get("newest", -1) for i in c.up())
-    c.version(row, newest, 15.0)
+    c.agreed(row, 20.0)
     c.ids = [id for id in c.ids if c.end(0, id)["end"] in ENDED]  # one whose proposer died may be unknown
 
 
--- a/landingshift/lab/rig.py
+++ b/landingshift/lab/rig.py
@@ -105,7 +105,7 @@
     ) -> None:
         self.folder, self.count, self.seed, self.toml, self.rate = folder, count, seed, toml, rate
         self.chance = Random(f"{seed} rig")
-        self.net = unused_net()
+        self.net, self.claim = unused_net()
         self.loop = Loop(self.fault)
         self.faults = 0
         self.yard = Yard(self.loop, seed, bears, asks, fill, cold_ms, work, cores)
@@ -210,6 +210,7 @@
         self.thread.join(5.0)
         self.switch.close()
         self.yard.close()
+        self.claim.close()
 
     # On the loop
 
@@ -291,14 +292,16 @@
         return lines
 
 
-def unused_net() -> int:
-    """Second part of addresses that no rig beside this one uses."""
-    for net in Random(os.urandom(8)).sample(range(16, 250), 50):
+def unused_net() -> tuple[int, socket.socket]:
+    """Second part of addresses that no rig beside this one uses, and what keeps it so until it is closed.
+
+    Two that begin in the same moment must not have the same: their servers would take each other for theirs.
+    """
+    for net in Random(os.urandom(8)).sample(range(16, 250), 200):
         try:
-            socket.create_server((f"127.{net}.0.1", LISTEN)).close()
+            return net, socket.create_server((f"127.{net}.255.254", LISTEN))
         except OSError:
             continue
-        return net
     raise RuntimeError("no free addresses")
 
 
--- /dev/null
+++ b/landingshift/lab/town.py
@@ -0,0 +1,415 @@
+"""A fleet of homes in virtual time, and a day done to it: faults that compose, operators' errands, gateways.
+
+All that happened goes into one history, from which `promises` says what held. The same day gives the same
+history.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from itertools import combinations
+from random import Random
+from typing import Any
+
+from landingshift.agreement.voter import Stored
+from landingshift.agreement.voter import Times as Beats
+from landingshift.coldstart.agent import Plan as StartPlan
+from landingshift.lab.days import BETWEEN, ERRANDS, Act, Coverage, Day
+from landingshift.lab.home import CAPACITY, METHODS, WAIT, Disk, Home, Sent, address, text
+from landingshift.lab.promises import History
+from landingshift.lab.rise import Store
+from landingshift.lab.virtual import Address, Host, World
+from landingshift.policies.follower import Plan as Rules
+from landingshift.policies.part import ENDED
+from landingshift.upkeep.book import command
+from landingshift.upkeep.floor import Needs
+from landingshift.upkeep.foreman import Plan as WorkPlan
+
+SEND = 50.0  # ms between two looks of the gateways
+LATE = 1000.0  # by which gateways hear of a change of the list
+LOOK = 250.0  # between two looks of the town
+CALLS = 3.0  # calls a second and server that the store bears
+SETTLE = 120_000.0  # ms that a fleet has to come to rest once nothing is done to it any more
+REST = 500.0  # between two looks at whether it has
+AGAIN = 500.0  # between two tries of an operator to reach the leader
+STORM = 1_000_000  # events: some twenty times those of a long day
+OFFSETS = 1e6, 3e6  # ms that monotonic clocks show at the beginning: never below 0, as on real machines
+SUPERVISOR = 300.0  # ms until a process that ended by a notice is started again, at the least
+NOON = 1.8e12  # Unix ms at the beginning
+OVERLAP, LEASE, SPARE = 1000.0, 900.0, 100.0
+BREAKS = {  # the defence that is taken away: what must then be found broken
+    "lease": "all_or_none",
+    "ask": "all_or_none",
+    "sure": "all_or_none",
+    "arm": "all_or_none",
+    "disk": "one_order",
+    "quiet": "shares",
+    "booking": "shares",
+    "end": "permissions",
+    "floor": "floor",
+    "due": "answered",
+    "grace": "drains",
+    "suspect": "members",
+}
+
+
+class Town:
+    """`away` takes one defence from all; `seen` counts what was met."""
+
+    def __init__(self, day: Day, away: str = "", seen: Coverage | None = None) -> None:
+        self.day, self.away, self.seen = day, away, seen or Coverage()
+        self.world = World(day.seed)
+        self.world.most = STORM
+        self.chance = Random(f"{day.seed} town")
+        self.history: History = []
+        servers, names = day.servers, [f"n{i}" for i in range(day.servers)]
+        self.rules = Rules(
+            tuple(names[: day.voters]), day.aside, overlap=OVERLAP, lease=LEASE, spare=SPARE, wait=6000.0
+        )
+        self.times = Beats(beat=100.0, wait=500.0)
+        self.store = Store(CALLS * servers)
+        lenders = tuple(names[: max(2, servers // 3)])
+        self.plan = StartPlan(
+            lenders, CALLS * servers, servers, 0.1, 1500.0, 300.0, max(2.0, servers / 3.0), float(servers),
+            4000.0, 2.0,
+        )  # fmt: skip
+        needs = Needs(-1.0, 0.0, 0.0, 0.0) if away == "floor" else Needs(0.1, 0.0, 0.0, 0.0)
+        self.work = WorkPlan(needs, lasts=2000.0, spare=300.0, back=0.05, rings=False, fades=10_000.0)
+        self.walls = [NOON] * servers
+        # One more than there are voters has a journal and could be one.
+        self.disks = [Disk(Stored() if i <= day.voters else None) for i in range(servers)]
+        self.back_after: dict[int, float] = {}
+        self.homes: dict[int, Home] = {}
+        self.runs = [0] * servers
+        self.under: dict[int, Act] = {}  # acts that are under way, by their place in the day
+        self.list_up = True
+        self.rate = day.load * servers * CAPACITY  # RPCs a second
+        self.more = 1.0
+        self.owed, self.numbers = 0.0, 0
+        self.told: dict[int, tuple[float, bool]] = {}  # what gateways were told of each server, and when
+        self.known: dict[int, bool] = {}  # what they go by
+        self.ids: list[str] = []
+        self.asked: dict[str, float] = {}  # minutes of each machine's last wish
+        self.ends: set[tuple[str, str]] = set()
+        self.world.cut = self.cut
+
+    # What homes need of it
+
+    def chance_of(self, i: int, run: int) -> Random:
+        return Random(f"{self.day.seed} {i} {run}")
+
+    def peers(self, i: int) -> list[Address]:
+        return [address(j) for j in range(self.day.servers) if j != i][:4]
+
+    def note(self, what: str, *values: Any) -> None:
+        self.history.append((self.world.now, what, *values))
+
+    def permitted(self, name: str) -> int:
+        """The number of the permission in force, as the voter that leads has it; 0 where none knows."""
+        home = self.leader()
+        wish = home.book.wishes.get(name) if home is not None else None
+        return wish.number if wish is not None else 0
+
+    def work_ms(self, name: str) -> float:
+        return self.asked.get(name, 0.0) * 60_000.0
+
+    def leader(self) -> Home | None:
+        return next((h for h in self.homes.values() if h.host.up and h.leads()), None)
+
+    # Processes
+
+    def start(self, i: int) -> None:
+        if i in self.homes and self.homes[i].host.up:
+            return
+        self.runs[i] += 1
+        chance = Random(f"{self.day.seed} {i} clock {self.runs[i]}")
+        offset, pace = chance.uniform(*OFFSETS), chance.uniform(0.99, 1.01)
+        host = Host(self.world, address(i), None, offset, pace)  # type: ignore[arg-type]
+        self.disks[i].dies = 0.0
+        self.world.hosts[address(i)] = host
+        self.note("starts", f"n{i}")
+        home = self.homes[i] = Home(self, i, self.runs[i], host)
+        host.mind = home
+        host.turn()
+
+    def kill(self, i: int, away: float) -> None:
+        """`away` ms until it is started again."""
+        if i in self.homes and self.homes[i].host.up:
+            self.world.kill(address(i))
+            self.note("killed", f"n{i}")
+        self.world.after(away, partial(self.start, i))
+
+    def ended(self, home: Home) -> None:
+        """It has drained: its last word, then its supervisor starts it anew."""
+        home.part.bye()
+        for to, body in home.part.take_out():
+            home.node.say(to, "policies", body)
+        for at, message in home.node.take_out():
+            self.world.carry(home.host.address, at, message)
+        home.host.up = False
+        self.note("ended", home.name)
+        self.world.after(max(SUPERVISOR, self.back_after.get(home.i, 0.0)), partial(self.start, home.i))
+
+    # The network
+
+    def cut(self, a: Address, b: Address) -> bool:
+        return any(self.cuts(act, a, b) for act in self.under.values() if act.kind in BETWEEN)
+
+    def cuts(self, act: Act, a: Address, b: Address) -> bool:
+        side = {address(i) for i in act.who}
+        match act.kind:
+            case "cut_off" | "halves":
+                return (a in side) != (b in side)
+            case "mute":
+                return a in side
+            case "deaf":
+                return b in side
+            case "flaps":
+                return int((self.world.now - act.at) / act.amount) % 2 == 0 and (a in side) != (b in side)
+        return False
+
+    def links(self) -> None:
+        """Loss, doubles and delay are the most of all acts under way."""
+
+        def most(kind: str) -> float:
+            return max((a.amount for a in self.under.values() if a.kind == kind), default=0.0)
+
+        self.world.loss, self.world.double, self.world.slow = most("loss"), most("twice"), most("delay")
+        self.more = 1.0
+        for a in self.under.values():
+            self.more *= a.amount if a.kind == "load" else 1.0
+        self.list_up = not any(a.kind == "list_down" for a in self.under.values())
+
+    # Acts
+
+    def begin(self, place: int, act: Act) -> None:
+        self.seen.begin(act.kind, sorted({a.kind for a in self.under.values()}), self.stages())
+        self.note("begins", act.kind, place, act.who, act.lasts, act.amount)
+        if act.lasts:
+            self.under[place] = act
+            self.world.after(act.lasts, partial(self.over, place))
+        self.links()
+        for i in act.who:
+            home = self.homes.get(i)
+            up = home is not None and home.host.up
+            match act.kind:
+                case "kill" | "zone":
+                    self.kill(i, act.lasts)
+                case "crash_loop":
+                    self.loop(place, i, act)
+                case "notice" if up and home is not None:
+                    home.host.arrive(("notice", act.lasts))
+                case "stop" | "pause" if up and home is not None:
+                    self.note("still", home.name, self.world.now + act.lasts)
+                    home.host.stop(act.lasts)
+                case "hang" if home is not None:
+                    home.hangs = max(home.hangs, self.world.now + act.lasts)
+                case "starved" if home is not None:
+                    home.host.lag = act.amount
+                case "torn" if up:
+                    self.disks[i].dies = act.lasts
+                case "full":
+                    self.disks[i].full = True
+                case "clock":
+                    self.walls[i] += act.amount
+                case "change" | "voters" if up and home is not None:
+                    self.errand(act, home)
+        if act.kind == "store_falls":
+            self.store.waiting += act.amount * self.store.bears
+        if act.kind == "wish":
+            self.wish([f"n{i}" for i in act.who], act.amount, 30)
+
+    def over(self, place: int) -> None:
+        act = self.under.pop(place)
+        self.note("over", act.kind, place)
+        self.links()
+        for i in act.who:
+            home = self.homes.get(i)
+            if act.kind == "starved" and home is not None:
+                home.host.lag = 0.0
+                home.host.wake()
+            if act.kind == "full":
+                self.disks[i].full = any(a.kind == "full" and i in a.who for a in self.under.values())
+            if act.kind == "torn":
+                self.disks[i].dies = 0.0
+
+    def loop(self, place: int, i: int, act: Act) -> None:
+        if place in self.under:
+            self.kill(i, act.amount / 2.0)
+            self.world.after(act.amount, partial(self.loop, place, i, act))
+
+    def errand(self, act: Act, home: Home) -> None:
+        now = home.clock()
+        if act.kind == "change":
+            id = f"c{len(self.ids)}"
+            self.ids.append(id)
+            home.part.ask_for(id, ["propose", text(len(self.ids)), "lab", "a trial"], now)
+        else:
+            name = f"n{act.who[0] % (self.day.voters + 1)}"
+            how = "remove" if name in home.part.follower.voters else "add"
+            home.part.ask_for(f"{how} {name}", ["voters", how, name], now)
+        home.host.turn()
+
+    def wish(self, names: list[str], minutes: float, tries: int) -> None:
+        """Asked of whoever leads; an operator tries again where nobody does."""
+        home = self.leader()
+        rows = [[n, minutes, home.wall(), 1.0, 0.0, float("inf"), False, ""] for n in names] if home else []
+        if home is not None and home.propose(command("wish", rows)):
+            self.asked |= dict.fromkeys(names, minutes)
+            self.note("wished", tuple(names))
+            home.host.turn()
+        elif tries:
+            self.world.after(AGAIN, partial(self.wish, names, minutes, tries - 1))
+
+    def stages(self) -> list[str]:
+        """Of all plans that are under way."""
+        found = set()
+        lead = self.leader()
+        if lead is None:
+            found.add("nobody leads")
+        elif lead.part.desk is not None and lead.book is not None:
+            desk = lead.part.desk
+            if lead.part.book.open:
+                found.add(f"change {'switching' if desk.switching else desk.want}")
+            found |= {f"work {w.stage.value}" for w in lead.book.wishes.values()}
+        for home in self.homes.values():
+            if home.host.up and home.agent.start.stage.value != "warm":
+                found.add(f"start {home.agent.start.stage.value}")
+        return sorted(found)
+
+    # Gateways
+
+    def look(self) -> None:
+        self.world.after(SEND, self.look)
+        for i, home in self.homes.items():
+            listed = home.host.up and home.listed
+            if self.told.get(i, (0.0, False))[1] != listed:
+                self.told[i] = self.world.now, listed
+            at, what = self.told.get(i, (0.0, False))
+            if self.world.now - at >= LATE:
+                self.known[i] = what
+        here = [i for i, known in self.known.items() if known]
+        self.owed += self.rate * self.more * SEND / 1000.0
+        while self.owed >= 1.0:
+            self.owed -= 1.0
+            if here:
+                self.send(self.chance.choice(here))
+
+    def send(self, i: int) -> None:
+        home = self.homes[i]
+        if not home.host.up:
+            self.note("refused", home.name)  # proves that nothing ran: the caller goes elsewhere
+            return
+        self.numbers += 1
+        criticality = METHODS[self.chance.random() < 0.2]
+        rpc = Sent(
+            criticality, home.tenant, WAIT, 1.0, 10.0, 0, None, False, False, False, False, self.numbers
+        )
+        sent = self.world.now
+        still = home.host.until
+        # What a stopped process has not read it can't answer for; the time it waits there is told by `at`.
+        self.world.after(1.0, lambda: home.host.arrive(("read", rpc, max(0.0, still - sent))))
+
+    def sizes(self) -> None:
+        self.world.after(2000.0, self.sizes)
+        for home in self.homes.values():
+            if home.host.up:
+                for what, size in home.sizes().items():
+                    self.note("size", home.name, what, size)
+
+    def watch(self) -> None:
+        """What warm cores could do and what is asked of them; ends of changes as each server tells them."""
+        self.world.after(LOOK, self.watch)
+        self.store.look(self.world.now)
+        up = [h for h in self.homes.values() if h.host.up and h.ends_at == float("inf")]
+        capacity = sum(CAPACITY * h.warmth() for h in up)
+        self.note("capacity", capacity, self.rate * self.more, [h.name for h in up])
+        self.tell_ends()
+
+    def tell_ends(self, again: bool = False) -> None:
+        for home in self.homes.values():
+            if not home.host.up:
+                continue
+            for id in self.ids:
+                known = home.part.known(id)
+                if known["end"] in ENDED and (again or (home.name, id) not in self.ends):
+                    self.ends.add((home.name, id))
+                    self.note("end", home.name, id, known["end"], known["version"])
+
+    # A day
+
+    def play(self) -> History:
+        day, world = self.day, self.world
+        for i in range(day.servers):
+            world.at(self.chance.uniform(0.0, 500.0), partial(self.start, i))
+        world.after(SEND, self.look)
+        world.after(LOOK, self.watch)
+        world.after(2000.0, self.sizes)
+        self.note("bounds", self.plan.calls, self.plan.most)
+        self.note("each", CAPACITY)
+        began = 4000.0  # the first start has settled, more or less
+        for place, act in enumerate(day.acts):
+            world.at(began + act.at, partial(self.begin, place, act))
+        world.run(began + day.ms)
+        self.settle()
+        return self.history
+
+    def settle(self) -> None:
+        """Nothing is done to it any more: it comes to rest, and whoever is asked answers."""
+        self.note("quiet")
+        self.rate = min(self.rate, 0.3 * self.day.servers * CAPACITY)
+        end = self.world.now + SETTLE
+        while self.world.now < end and self.restless():
+            self.world.run(self.world.now + REST)
+            if self.world.now > end - SETTLE / 2.0:
+                self.ask_all()
+        for word in self.restless():
+            self.note("restless", word)
+        self.tell_ends(True)
+        self.note("rests", end - SETTLE)
+
+    def ask_all(self) -> None:
+        for home in self.homes.values():
+            for id in self.ids:
+                if home.host.up and home.part.known(id)["end"] not in ENDED:
+                    home.part.ask_for(id, ["find"], home.clock())
+                    home.host.turn()
+
+    def restless(self) -> list[str]:
+        """What has not come to its end yet; empty once all is well."""
+        homes, found = list(self.homes.values()), []
+        down = [h.name for h in homes if not h.host.up]
+        if down:
+            return [f"down: {down}"]
+        checks: list[tuple[str, Callable[[Home], bool]]] = [
+            ("not warm", lambda h: h.agent.start.stage.value == "warm"),
+            ("not counted", lambda h: h.part.follower.joined),
+            ("does not decide", lambda h: h.may),
+            ("not listed", lambda h: h.listed),
+        ]
+        for word, well in checks:
+            some = [h.name for h in homes if not well(h)]
+            if some:
+                found.append(f"{word}: {some}")
+        versions = {h.part.follower.version for h in homes}
+        if len(versions) > 1:
+            found.append(f"versions {sorted(versions)}")
+        blind = [(a.name, b.name) for a, b in combinations(homes, 2) if a.gone(b.name) or b.gone(a.name)]
+        if blind:
+            found.append(f"do not see each other: {blind[:3]}")
+        if self.store.fell:
+            found.append("the store is down")
+        open_ = [id for id in self.ids if not any((h.name, id) in self.ends for h in homes)]
+        lead = self.leader()
+        if lead is None:
+            found.append("nobody leads")
+        elif lead.book.wishes:
+            found.append(f"work is not over: {[(w.name, w.stage.value) for w in lead.book.wishes.values()]}")
+        if lead is not None and lead.part.book.open:
+            found.append(f"{lead.part.book.open} is under way, of {open_}")
+        return found
+
+
+def errands(day: Day) -> int:
+    return sum(a.kind in ERRANDS for a in day.acts)
--- a/landingshift/lab/upkeep_real.py
+++ b/landingshift/lab/upkeep_real.py
@@ -338,7 +338,7 @@
 
 REAL: dict[str, Any] = {
     "real_all_replaced": case(all_replaced),
-    "real_crash_meanwhile": case(crash_meanwhile),
+    "real_crash_meanwhile": case(crash_meanwhile, 0.45),  # two may be out at peaks of a second, too
     "real_leader_killed": case(leader_killed),
     "real_stopped_past_the_end": case(stopped_past_the_end),
     "real_cut_off": case(cut_off),
--- a/landingshift/lab/virtual.py
+++ b/landingshift/lab/virtual.py
@@ -35,6 +35,10 @@
     def clock(self) -> float:
         return self.world.now * self.pace + self.offset
 
+    def world_time(self, clock: float) -> float:
+        """When its clock shows that."""
+        return (clock - self.offset) / self.pace
+
     def stop(self, ms: float) -> None:
         self.until = self.world.now + ms
         self.world.at(self.until, self.wake)
@@ -91,6 +95,7 @@
         self.hosts: dict[Address, Host] = {}
         self.cut: Callable[[Address, Address], bool] = lambda a, b: False
         self.messages = 0
+        self.most = 1 << 62  # events after which it is a storm, and no day
 
     def at(self, time: float, action: Callable[[], object]) -> None:
         self.count += 1
@@ -124,4 +129,6 @@
         while self.events and self.events[0][0] <= until:
             self.now, _, action = heapq.heappop(self.events)
             action()
+            if self.count > self.most:
+                raise RuntimeError(f"{self.count} events by {self.now:.0f} ms: a storm")
         self.now = until
--- a/landingshift/upkeep/book.py
+++ b/landingshift/upkeep/book.py
@@ -34,7 +34,8 @@
     held: str
     wishes: list[Any]
     history: list[Ended]
-    seen: list[float] = []  # a book of an earlier build has none
+    seen: list[float] = []  # a book of an earlier build has none, nor machines
+    machines: dict[str, tuple[float, str, str, bool]] = {}
 
 
 FIELDS = ("name", "minutes", "since", "urgency", "not_before", "not_after", "alone", "group")
@@ -52,6 +53,8 @@
         self.runs: dict[str, int] = {}  # the run that each permission was given to
         self.history: list[Ended] = []
         self.shape = Shape()  # of the last day's demand
+        # Capacity, zone, model, best: a new leader must know of those, too, that it never heard.
+        self.machines: dict[str, tuple[float, str, str, bool]] = {}
 
     def apply(self, data: bytes) -> None:
         match msgspec.msgpack.decode(data)[1:]:
@@ -64,6 +67,11 @@
                 self.move(name, number, Stage(to), why, at)
             case ["hold", str(why)]:
                 self.held = why
+            case ["machine", str(name), float(capacity), str(zone), str(model), bool(best)]:
+                if name in self.machines or len(self.machines) < MOST:
+                    self.machines[name] = capacity, zone, model, best
+            case ["without", str(name)]:
+                self.machines.pop(name, None)
             case ["seen", int(quarter), float(demand)]:
                 self.shape.seen(quarter, demand)
 
@@ -110,12 +118,14 @@
             + [w.stage.value, w.number, w.until, w.why, self.runs.get(w.name, 0)]
             for w in self.wishes.values()
         ]
-        return msgspec.msgpack.encode(Kept(self.number, self.held, rows, self.history, self.shape.most))
+        kept = Kept(self.number, self.held, rows, self.history, self.shape.most, self.machines)
+        return msgspec.msgpack.encode(kept)
 
     def load(self, state: bytes) -> None:
         kept = msgspec.msgpack.decode(state, type=Kept)
         self.number, self.held, self.history = kept.number, kept.held, kept.history
         self.wishes, self.runs, self.shape = {}, {}, Shape()
+        self.machines = dict(kept.machines)
         for quarter, demand in enumerate(kept.seen):
             self.shape.seen(quarter, demand)
         for *fields, stage, number, until, why, run in kept.wishes:
--- a/landingshift/upkeep/foreman.py
+++ b/landingshift/upkeep/foreman.py
@@ -81,6 +81,7 @@
         self.touched, self.rest = Served(), Served()
         self.done_names: set[str] = set()
         self.why = ""  # why nobody is let go just now
+        self.voters: list[str] = []  # as the agreement has them
         self.asked: dict[str, float] = {}  # proposals under way, by what and when
 
     def begin(self, now: float) -> None:
@@ -117,6 +118,7 @@
                 side = self.touched if machine.name in self.done_names else self.rest
                 side.add(max(0.0, ok - had.ok), max(0.0, all - had.all))
         self.reports[machine.name] = report
+        self.know(machine, now)
         wish = self.book.wishes.get(machine.name)
         if wish is None:
             return ["", 0, 0.0]
@@ -127,6 +129,20 @@
             report.offered_at = now
         return [wish.stage.value, wish.number, self.plan.lasts if may else 0.0]
 
+    def know(self, machine: Machine, now: float) -> None:
+        """What a later leader must count with although that machine may be gone by then."""
+        facts = machine.capacity, machine.zone, machine.model, machine.best
+        if self.book.machines.get(machine.name) != facts:
+            self.put(f"machine {machine.name}", command("machine", machine.name, *facts), now)
+
+    def missing(self) -> list[Machine]:
+        """Those of the book that have not reported to this leader."""
+        return [
+            Machine(name, *facts, name in self.voters)
+            for name, facts in self.book.machines.items()
+            if name not in self.reports
+        ]
+
     def follow(self, wish: Wish, report: Report, now: float) -> None:
         """Moves a wish on by what its machine says."""
         same = self.book.runs.get(wish.name) == report.run
@@ -196,11 +212,15 @@
                 found[name] = 1.0
             elif report.warmth < 1.0:
                 found[name] = 1.0 - report.warmth
+        for machine in self.missing():
+            wish = self.book.wishes.get(machine.name)
+            if wish is None or wish.stage not in (*COUNTED, Stage.WARMING):
+                found[machine.name] = 1.0
         return found
 
     def floor(self) -> Floor:
         machines = [r.machine for r in self.reports.values()]
-        return Floor(machines, self.plan.needs, self.demand())
+        return Floor([*machines, *self.missing()], self.plan.needs, self.demand())
 
     def step(self, now: float) -> None:
         if now < self.look_at:
@@ -237,6 +257,10 @@
         if now - self.hopeless_at >= HOPELESS:
             self.hopeless_at = now
             names = self.names()
+            for name in [n for n in self.book.machines if n not in names]:
+                self.put(
+                    f"without {name}", command("without", name), now
+                )  # gone for so long that it is forgotten
             whole = not lost and names <= self.reports.keys()
             for wish in [w for w in wishes.values() if w.stage is Stage.WISHED]:
                 why = hopeless(wish, floor, self.wall(), wish.name in names, whole)
--- a/landingshift/upkeep/machine.py
+++ b/landingshift/upkeep/machine.py
@@ -59,6 +59,7 @@
         case ["at", int(number), float(capacity), str(model), bool(best), *rest]:
             if foreman is None or not 0.0 < capacity < 1e9 or len(model) > MODEL:
                 return None
+            foreman.voters = voters
             machine = Machine(sender.name, capacity, sender.zone, model, best, sender.name in voters)
             answer = foreman.hear(machine, sender.run, rest, now)
             return None if answer is None else ["told", number, *answer]
--- /dev/null
+++ b/tests/test_chance.py
@@ -0,0 +1,210 @@
+"""The whole fleet under chance faults: drawn days, failing ones made smaller, kept ones, real processes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from msgspec.structs import replace
+
+from landingshift.lab import MEMORY
+from landingshift.lab.days import KINDS, Act, Coverage, Day, draw, read, told, written
+from landingshift.lab.fleet import failure, names, smaller
+from landingshift.lab.fleet_real import recovery
+from landingshift.lab.promises import FLEET, broken
+from landingshift.lab.reduce import Reduced
+from landingshift.lab.town import BREAKS, OVERLAP, Town
+
+DAYS = Path(__file__).parent / "days"
+COMMAND = [sys.executable, "-c", "from landingshift.cli import start; start()", "lab"]
+WITHOUT = sorted(
+    (DAYS / "without").glob("*.json")
+)  # made smaller: each fails without the defence of its name
+QUIET = Day(5, 4, 3, 3000.0, False, 0.3, ())
+
+
+class Drawn(unittest.TestCase):
+    def test_all_promises_hold_on_drawn_days_and_on_kept_ones(self) -> None:
+        days = {str(seed): draw(seed) for seed in range(1, 17)}
+        days |= {path.name: read(path.read_bytes()) for path in [*sorted(DAYS.glob("*.json")), *WITHOUT]}
+        with ProcessPoolExecutor() as pool:
+            for name, wrong in zip(days, pool.map(failure, days.values(), [""] * len(days)), strict=True):
+                with self.subTest(day=name):
+                    self.assertEqual(wrong, [])
+
+    def test_each_defence_is_missed(self) -> None:
+        with ProcessPoolExecutor() as pool:
+            days = [read(path.read_bytes()) for path in WITHOUT]
+            found = pool.map(failure, days, [path.stem for path in WITHOUT])
+            for path, wrong in zip(WITHOUT, found, strict=True):
+                with self.subTest(away=path.stem):
+                    self.assertIn(BREAKS[path.stem], names(wrong))
+        self.assertGreater(len(WITHOUT), 6)
+
+    def test_a_day_is_the_same_each_time_and_is_more_than_nothing(self) -> None:
+        day = draw(3)
+        one, two = Town(day).play(), Town(day).play()
+        self.assertEqual(one, two)
+        self.assertEqual(draw(3), day)
+        for what in ("read", "run", "answer", "loan", "decided", "sees", "begins"):
+            self.assertGreater(sum(e[1] == what for e in one), 5, what)
+
+    def test_what_met_is_counted_and_sought(self) -> None:
+        seen = Coverage()
+        acts = (Act(0.0, "cut_off", (1,), 900.0), Act(300.0, "kill", (2,), 500.0))
+        Town(Day(1, 4, 3, 3000.0, False, 0.3, acts), seen=seen).play()
+        self.assertEqual(seen.of("kill", "cut_off"), 1)
+        self.assertEqual(seen.of("kill", "loss"), 0)
+        self.assertIn(("kill", "loss"), seen.unmet())
+        often = {(min(a, b), max(a, b)): 99 for a in KINDS for b in KINDS if "full" not in (a, b)}
+        drawn = [a.kind for seed in range(40) for a in draw(seed, often).acts]
+        plain = [a.kind for seed in range(40) for a in draw(seed).acts]
+        self.assertGreater(drawn.count("full"), 3 * plain.count("full"))
+
+
+class Smaller(unittest.TestCase):
+    def test_what_does_not_matter_is_left_out(self) -> None:
+        day = draw(7)
+        plays = []
+
+        def fails(tried: Day) -> bool:
+            plays.append(tried)
+            kinds = [a.kind for a in tried.acts]
+            return tried.servers >= 3 and "late" in kinds and "kill" in kinds[kinds.index("late") :]
+
+        noise = [a for a in day.acts if a.kind != "kill"]
+        late, kill = Act(2110.0, "late", (0,)), Act(5000.0, "kill", (1, 2), 4000.0)
+        day = Day(7, 9, 3, 20_000.0, False, 1.1, tuple(sorted([*noise, late, kill], key=lambda a: a.at)))
+        least = Reduced(day, fails).run()
+        self.assertEqual([a.kind for a in least.acts], ["late", "kill"])
+        self.assertEqual((least.servers, least.load, len(least.acts[1].who)), (3, 0.3, 1))
+        self.assertLess(least.acts[1].lasts, 500.0)
+        self.assertLess(len(plays), 400)
+
+    def test_a_day_without_a_defence_ends_as_an_incident_that_still_fails(self) -> None:
+        small = read((DAYS / "without" / "arm.json").read_bytes())
+        noise = (Act(900.0, "delay", (), 400.0, 20.0), Act(2900.0, "load", (), 1000.0, 1.5))
+        day = replace(small, acts=tuple(sorted([*small.acts, *noise], key=lambda a: a.at)))
+        least, promise, played = smaller(day, "arm", 30)
+        self.assertEqual(promise, "all_or_none")
+        self.assertIn("all_or_none", names(failure(least, "arm")))
+        self.assertLess(len(least.acts), len(day.acts))
+        self.assertLessEqual(played, 30)
+        self.assertIn("a change of policy is proposed", "\n".join(told(least)))
+
+
+class Files(unittest.TestCase):
+    def test_there_and_back_and_what_is_wrong_is_named(self) -> None:
+        day = draw(11)
+        self.assertEqual(read(written(day)), day)
+        good = json.loads(written(day))
+        for change, said in [
+            ({"voters": 99}, "servers, voters"),
+            ({"acts": [[0, "earthquake", [0]]]}, "acts[0]: no such kind: earthquake"),
+            ({"acts": [[0, "kill", [99]]]}, "acts[0]: who"),
+            ({"acts": [[-5, "kill", [0]]]}, "acts[0]: who, at"),
+            ({"seed": "x"}, "not a day"),
+        ]:
+            with self.subTest(change=change), self.assertRaises(ValueError) as caught:
+                read(json.dumps(good | change).encode())
+            self.assertIn(said, str(caught.exception))
+
+    def test_what_operators_see(self) -> None:
+        with tempfile.TemporaryDirectory(dir=MEMORY) as folder:
+            day, run, page = (str(Path(folder, n)) for n in ("day.json", "run.json", "page.html"))
+            Path(day).write_bytes((DAYS / "without" / "arm.json").read_bytes())
+
+            def command(*words: str, code: int) -> str:
+                done = subprocess.run([*COMMAND, *words], capture_output=True, text=True, timeout=120)
+                self.assertEqual(done.returncode, code, done.stdout + done.stderr)
+                return done.stdout + done.stderr
+
+            self.assertIn("all promises hold", command("replay", day, code=0))
+            self.assertIn("all_or_none: ", command("replay", day, "--break", "arm", code=1))
+            self.assertIn("all promises hold on it", command("reduce", day, code=2))
+            self.assertIn("holds   days", command("fleet", "--days", "4", "--json", run, code=0))
+            command("report", run, page, code=0)
+            html = Path(page).read_text()
+            for said in ("all_or_none", "<svg", "Which faults have met", "None failed."):
+                self.assertIn(said, html)
+            for fetched in ("src=", "<link", "<script", "@import", "url(http"):
+                self.assertFalse(fetched in html, fetched)
+            Path(run).write_text("{")
+            self.assertIn(run, command("report", run, page, code=2))
+
+
+class Promises(unittest.TestCase):
+    """Each says no to a history that breaks it and nothing to one that does not."""
+
+    READ = (1.0, "read", "a", 1, 100.0)
+
+    def test_tables(self) -> None:
+        begins, over = (0.0, "begins", "cut_off", 0, (0,), 900.0, 0.0), (900.0, "over", "cut_off", 0)
+        bounds, each = (0.0, "bounds", 10.0, 2.0), (0.0, "each", 8.0)
+        later = (40e3, "capacity", 8.0, 1.0, ["a"])
+        lent, left, quiet = (
+            (1.0, "loan", "a", "l", 6.0, 50.0, 0.0, 0.0),
+            (20.1e3, "left", "a", 1, 1),
+            (21e3, "quiet"),
+        )
+        for name, good, bad in [
+            ("answered", [self.READ, (90.0, "answer", "a", 1, "ok")],
+             [self.READ, (300.0, "answer", "a", 1, "ok")]),
+            ("answered", [self.READ, (50.0, "killed", "a"), (900.0, "size", "a", "out", 1)],
+             [self.READ, (900.0, "size", "a", "out", 1)]),
+            ("answered", [self.READ, (2.0, "still", "a", 500.0), (540.0, "answer", "a", 1, "ok")],
+             [self.READ, (50.0, "ended", "a")]),
+            ("answered", [], [(5.0, "answer", "a", 1, "ok")]),
+            ("drains", [(0.0, "drains", "a"), (100.0, "read", "a", 1, 9e3), (120.0, "run", "a", 1)],
+             [(0.0, "drains", "a"), (500.0, "read", "a", 1, 9e3), (520.0, "run", "a", 1)]),
+            ("drains", [], [self.READ, (2.0, "run", "a", 1), (3.0, "run", "a", 1)]),
+            ("shares", [bounds, lent, (60.0, "loan", "b", "l", 6.0, 99.0, 0.0, 0.0)],
+             [bounds, lent, (40.0, "loan", "b", "l", 6.0, 99.0, 0.0, 0.0)]),
+            ("shares", [bounds], [bounds, *[(1.0, "loan", n, "l", 0.0, 0.0, 1.0, 50.0) for n in "abc"]]),
+            ("permissions", [(1.0, "left", "a", 1, 1), (2.0, "left", "b", 2, 2)],
+             [(1.0, "left", "a", 1, 1), (2.0, "left", "b", 1, 1)]),
+            ("permissions", [(1.0, "left", "a", 1, 0)], [(1.0, "left", "a", 1, 2)]),
+            ("floor", [each, (20e3, "capacity", 32.0, 20.0, []), left, quiet],
+             [each, (20e3, "capacity", 16.0, 15.0, []), left, quiet]),
+            ("floor", [each, begins, over, (8e3, "capacity", 9.0, 9.0, []), (9e3, "left", "a", 1, 1)], []),
+            ("members", [begins, (0.0, "starts", "b"), (400.0, "buried", "a", "b"), over],
+             [(0.0, "starts", "b"), (20e3, "buried", "a", "b")]),
+            ("deaths", [(20e3, "killed", "b"), (25e3, "sees", "a", "b", False), later],
+             [(20e3, "sees", "a", "b", True), (20e3, "killed", "b"), later]),
+            ("bounded", [(1.0, "size", "a", "errands", 64)], [(1.0, "size", "a", "errands", 65)]),
+            ("rests", [(1.0, "rests", 5.0)], [(1.0, "restless", "nobody leads")]),
+        ]:  # fmt: skip
+            with self.subTest(promise=name, bad=bad):
+                self.assertEqual(broken(list(good), OVERLAP, {name: FLEET[name]}), [])
+                if bad:
+                    self.assertNotEqual(broken(list(bad), OVERLAP, {name: FLEET[name]}), [])
+
+    def test_a_quiet_day_holds(self) -> None:
+        self.assertEqual(failure(QUIET, ""), [])
+
+    def test_recovery_is_looked_for_after_faults_that_stood_alone(self) -> None:
+        # 10 RPCs a second, of which half fail from 20 to 26 s
+        answers, ok = [], 0
+        for i in range(100):
+            ok += 5 if not 40 <= i < 52 else 2
+            answers.append((i / 2.0, ok, 5 * (i + 1)))
+        found = recovery(answers, [Act(20_000.0, "kill", (1,), 3000.0)])
+        self.assertEqual(found["alone"], 1)
+        self.assertTrue(2.0 <= found["back_s"] <= 4.0, found)
+        both = [Act(20_000.0, "kill", (1,), 3000.0), Act(21_000.0, "loss", (0,), 3000.0)]
+        self.assertEqual(recovery(answers, both), {"alone": 0})
+
+
+class Real(unittest.TestCase):
+    def test_half_a_minute_of_six_processes_with_all_rooms_on(self) -> None:
+        from landingshift.lab.fleet_real import many
+
+        (row,) = many(6, 3, 0.4, 1)
+        self.assertEqual(row.broken, [], row.figures)
+        self.assertGreater(row.figures["rpcs"]["ok"], 300)
+        self.assertGreater(row.figures["acts"], 5)
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -160,6 +160,41 @@
         self.assertEqual(book.shape.most, day.book.shape.most)
 
 
+class NewLeaders(unittest.TestCase):
+    def test_one_that_never_heard_of_the_lost_counts_them_all_the_same(self) -> None:
+        # Two of five voters and a zone are down when it is chosen: of those that report nothing seems amiss.
+        day = Day(1, 12, zones=2, cold=1000.0)
+        day.minutes, day.peak = 0.5, 0.3
+        for _ in range(10):
+            day.step()
+        self.assertEqual(set(day.book.machines), set(day.servers))
+        for name in ("n1", "n3"):
+            day.crash(name, 60_000.0)
+        day.foreman = day.lead()
+        day.foreman.voters = [f"n{i}" for i in range(5)]
+        day.wish(["n9"])
+        for _ in range(30):
+            day.step()
+        self.assertIs(day.book.wishes["n9"].stage, Stage.WISHED)
+        self.assertIn("voters: 3 of 4", day.foreman.why)
+        for _ in range(300):
+            day.step()
+        self.assertEqual(day.book.wishes, {})
+
+    def test_the_book_keeps_machines_and_forgets_those_that_the_fleet_forgot(self) -> None:
+        day = Day(1, 12, zones=2, cold=1000.0)
+        for _ in range(10):
+            day.step()
+        book = Book()
+        book.load(day.book.dump())
+        self.assertEqual(book.machines["n4"], (100.0, "z0", "b", True))
+        del day.servers["n11"], day.foreman.reports["n11"]
+        day.wish(["n1"])
+        for _ in range(20):
+            day.step()
+        self.assertNotIn("n11", day.book.machines)
+
+
 class Order(unittest.TestCase):
     def test_who_goes_next(self) -> None:
         for machines, wanted, lost, names in [
