Lenders need not keep quiet after a power cut that their mark proves

A mark of this boot, or none, proves nothing. A mark that can be neither written nor removed keeps it from lending. Rows: a power cut in virtual time; real_from_disk checks that lenders were quiet at first and not after, real_lenders_killed that one of the same boot still is. policy's row real_service measures service during changes.

--- a/landingshift/coldstart/agent.py
+++ b/landingshift/coldstart/agent.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from landingshift.coldstart.leases import Lender, Loan, fair
+from landingshift.coldstart.leases import UNEVEN, Lender, Loan, fair
 from landingshift.coldstart.places import Pace, Places, Wish
 from landingshift.coldstart.start import Start
 from landingshift.coldstart.strain import UNKNOWN
@@ -44,6 +44,11 @@
         """What one lender has of an amount that all of them lend together."""
         return amount / len(self.lenders) if self.lenders else 0.0
 
+    @property
+    def kept(self) -> float:
+        """ms for which a grant is booked."""
+        return self.lease * (1.0 + UNEVEN) + self.spare
+
     @property
     def own(self) -> float:
         """Calls a second that each server may always make."""
@@ -64,11 +69,14 @@
 class Lending:
     """The lender's books: its part of the places and of the store's calls."""
 
-    def __init__(self, plan: Plan, now: float) -> None:
+    def __init__(self, plan: Plan, now: float, quiet: float | None = None) -> None:
+        """`quiet`: ms that it keeps to what is claimed, a whole lease where nothing better is known."""
         calls = plan.part(plan.calls * (1.0 - plan.floor))
         self.shares = Lender(calls, plan.lease, plan.spare, now, fair)
         self.bearable = Pace(calls, calls, now, calls * 0.05)
         self.places = Places(plan.part(plan.first), plan.part(plan.most), plan.lease, plan.spare, now)
+        if quiet is not None:
+            self.shares.quiet_until = self.places.lender.quiet_until = now + quiet
         self.bases: dict[str, float] = {}
 
     def base(self) -> float:
@@ -104,9 +112,11 @@
 
 
 class Agent:
-    def __init__(self, node: Node, plan: Plan, chance: Random, now: float) -> None:
+    def __init__(
+        self, node: Node, plan: Plan, chance: Random, now: float, quiet: float | None = None
+    ) -> None:
         self.node, self.plan, self.chance = node, plan, chance
-        self.lending = Lending(plan, now) if node.me.name in plan.lenders else None
+        self.lending = Lending(plan, now, quiet) if node.me.name in plan.lenders else None
         self.loans: dict[str, Loans] = {}
         self.start = Start(plan.patience, plan.servers, plan.alone, chance, now)
         self.seen = Seen()
--- a/landingshift/coldstart/service.py
+++ b/landingshift/coldstart/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -9,6 +10,7 @@
 from landingshift.coldstart import snapshot
 from landingshift.coldstart.agent import ROOM, Agent, Seen
 from landingshift.coldstart.lists import Question
+from landingshift.coldstart.quiet import Boot, quiet
 from landingshift.coldstart.seek import Seek
 from landingshift.coldstart.settings import Settings, plan
 from landingshift.coldstart.start import Stage
@@ -40,7 +42,7 @@
         self.fleet, self.node, self.log = fleet, fleet.node, host.log
         self.router, self.loop, self.settings = host.router, host.router.loop, settings
         chance = Random(f"{self.router.site.seed} coldstart {self.router.site.name}")
-        self.agent = Agent(self.node, plan(settings), chance, self.loop.now)
+        self.agent = Agent(self.node, plan(settings), chance, self.loop.now, self.quiet())
         self.strain = Strain()
         self.question: Question | None = None
         self.timer: Timer | None = None
@@ -68,6 +70,25 @@
         self.node.add_peers(found.entries)
         return bool(found.entries)
 
+    def quiet(self) -> float | None:
+        """How long it must keep to what is claimed from it, if it lends; None: a whole lease.
+
+        The mark of this boot is on disk before anything is lent: a later run of this boot must find it.
+        """
+        settings, path = self.settings, f"{self.settings.snapshot}.boot"
+        if not settings.snapshot or self.node.me.name not in settings.lenders:
+            return None
+        boot, marked = Boot(*points.boot()), snapshot.marked(path)
+        ms = quiet(plan(settings).kept, boot, marked)
+        try:
+            snapshot.mark(path, boot.id)
+        except OSError as err:
+            self.log("coldstart_unmarked", error=str(err))
+            # Without a mark the next run waits. One of an older boot would free it wrongly.
+            return inf if marked and not snapshot.unmark(path) else None
+        self.log("coldstart_quiet", ms=round(ms), uptime_s=round(boot.uptime / 1000.0))
+        return ms
+
     # What the module and the engine show
 
     def needed(self, _rpc: Routed) -> None:
--- a/landingshift/coldstart/snapshot.py
+++ b/landingshift/coldstart/snapshot.py
@@ -66,6 +66,36 @@
         os.close(folder)
 
 
+def mark(path: str, boot: str) -> None:
+    """Raises OSError. Synced and renamed, like the list."""
+    beside = f"{path}.new"
+    with open(beside, "w") as file:
+        file.write(boot + "\n")
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(beside, path)
+
+
+def marked(path: str) -> str:
+    """The boot of the last run, "" where nothing is known."""
+    try:
+        with open(path) as file:
+            return file.read(64).strip()
+    except (OSError, UnicodeDecodeError):
+        return ""
+
+
+def unmark(path: str) -> bool:
+    """False where it stays."""
+    try:
+        os.unlink(path)
+    except FileNotFoundError:
+        return True
+    except OSError:
+        return False
+    return True
+
+
 def load(path: str, fleet: str, now: float) -> Found:
     """Whatever is wrong with the file is a reason to do without it, never to stop."""
     try:
--- a/landingshift/lab/coldstart.py
+++ b/landingshift/lab/coldstart.py
@@ -84,6 +84,13 @@
     check(row, rise, 1.5)
 
 
+def power_cut(tried: Tried, row: Row) -> None:
+    """The machines were off: lenders know that nothing they granted before can still be believed."""
+    rise = tried.rise(power=True)
+    rise.start_all()
+    check(row, rise, 1.3)
+
+
 def lenders_killed(tried: Tried, row: Row) -> None:
     """One killed and started anew, which knows nothing of what it lent, and one killed for good."""
     rise = tried.rise()
@@ -207,7 +214,7 @@
         count = few or servers
         rise = tried.rise(
             servers=count, calls=2.0 * count, lenders=max(3, count // 60),
-            places=(count / 6.0, count * 0.64), cold_ms=4000.0,
+            cold_ms=4000.0, power=True,
         )  # fmt: skip
         rise.start_all()
         check(row, rise, 2.0)
@@ -218,6 +225,7 @@
 VIRTUAL: dict[str, Callable[[Tried, Row], None]] = {
     "lent": lent,
     "all_at_once": all_at_once,
+    "power_cut": power_cut,
     "lenders_killed": lenders_killed,
     "holders_lost": holders_lost,
     "zone_cut": zone_cut,
--- a/landingshift/lab/coldstart_real.py
+++ b/landingshift/lab/coldstart_real.py
@@ -148,6 +148,8 @@
     time.sleep(1.0)
     fleet.rig.start(0)
     fleet.end(row, wait(fleet))
+    said = [e["ms"] for e in fleet.rig.logged(0) if e["event"] == "coldstart_quiet"]
+    must(row, len(said) == 2 and min(said) > 1000, f"a lender of the same boot kept quiet for {said} ms")
 
 
 def stopped_and_cut(fleet: Fleet, row: Row) -> None:
@@ -218,8 +220,17 @@
         file.write(b"landingshift-members 1 0\nnonsense")
     asked = len(rig.yard.list.times)
     rig.warm_at, rig.begun = -1.0, rig.loop.now
+    time.sleep(2.0)  # a machine takes longer than a lease to start, which its time since then proves
+    for i in range(fleet.count):
+        rig.env[i] = {"LANDINGSHIFT_BOOT": "second:9000"}
     fleet.start_all()
     fleet.end(row, wait(fleet))
+    said = [[e["ms"] for e in rig.logged(i) if e["event"] == "coldstart_quiet"] for i in range(fleet.lenders)]
+    must(
+        row,
+        all(len(ms) == 2 and ms[0] > 1000 and ms[1] == 0 for ms in said),
+        f"lenders kept quiet for {said}",
+    )
     must(row, len(rig.yard.list.times) == asked, "the list service was asked although all knew neighbours")
 
 
--- a/landingshift/lab/policy.py
+++ b/landingshift/lab/policy.py
@@ -322,8 +322,8 @@
         if only in (None, name):
             yield virtual(name, repeats, seed, away)
     if servers:
-        from landingshift.lab.policy_real import REAL
+        from landingshift.lab.policy_real import LONG, REAL
 
-        for name in REAL:
-            if only in (None, name):
-                yield many_real(name, REAL[name], servers, repeats, seed)
+        for name, play in (REAL | LONG).items():
+            if only == name or (only is None and name in REAL):
+                yield many_real(name, play, servers, repeats, seed)
--- a/landingshift/lab/policy_real.py
+++ b/landingshift/lab/policy_real.py
@@ -6,6 +6,7 @@
 import signal
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
@@ -626,6 +627,28 @@
     c.ids = [id for id in c.ids if c.end(0, id)["end"] in ENDED]  # one whose proposer died may be unknown
 
 
+def service(c: Council, row: Row) -> None:
+    """Half a minute without a change and half a minute with one each two seconds, at the same load."""
+    c.start_all()
+    time.sleep(3.0)
+    shares = []
+    for changes in (0, 12):
+        before = Counter(c.rig.ends)
+        for number in range(changes or 12):
+            if changes:
+                c.propose(number % c.count, number)
+            time.sleep(2.5)
+        done = c.rig.ends - before
+        shares.append(100.0 * done["ok"] / max(1, sum(done.values())))
+    row.figures |= {"ok_without": round(shares[0], 2), "ok_with_changes": round(shares[1], 2)}
+    must(
+        row,
+        abs(shares[0] - shares[1]) <= 2.0,
+        f"{shares[0]:.1f} % ok without changes, {shares[1]:.1f} % with",
+    )
+
+
+LONG: dict[str, Case] = {"real_service": case(service)}
 REAL: dict[str, Case] = {
     "real_without_faults": case(without_faults),
     "real_without_faults_leased": case(without_faults, "stand_aside"),
--- a/landingshift/lab/rise.py
+++ b/landingshift/lab/rise.py
@@ -43,6 +43,7 @@
     places: tuple[float, float] = (0.0, 0.0)  # at the beginning, at most; 0: as the settings' default
     know: str = "list"  # "snapshot": all know some addresses; "list": the list service does; "nobody"
     list_up: tuple[float, float] = (0.0, 1e12)  # from, until, ms
+    power: bool = False  # all machines were started just before: no lender has to keep quiet
     baseline: bool = False  # no talk: each calls as it likes and asks the list at once
 
     def plan(self) -> Plan:
@@ -68,7 +69,7 @@
         known = [address(chance.randrange(case.servers)) for _ in range(16)]
         peers = known if case.know == "snapshot" else []
         self.node = Node(me, peers, Times(), 10_000, chance, now, rise.log(i))
-        self.agent = Agent(self.node, rise.plan, chance, now)
+        self.agent = Agent(self.node, rise.plan, chance, now, 0.0 if case.power else None)
         self.seek = Seek(case.servers, case.asks, bool(peers), 3_000.0, chance, now)
         if case.baseline:
             self.seek.at = now
--- a/landingshift/points.py
+++ b/landingshift/points.py
@@ -4,7 +4,8 @@
 waits so many ms each time. With `LANDINGSHIFT_CRASH_ONCE=path` only the first process that gets there dies,
 and leaves the file. Unset, `reach` looks at two empty values. `LANDINGSHIFT_CLOCK=-60000` sets the wall
 clock that rooms read through `wall` so many ms back. `LANDINGSHIFT_HISTORY=path` names a file to which `note`
-adds what was believed and decided, for a checker that knows the promises only.
+adds what was believed and decided, for a checker that knows promises only. `LANDINGSHIFT_BOOT=id:ms` stands
+for the boot of the machine and how long it is up.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 slow, _, _ms = os.environ.get("LANDINGSHIFT_SLOW", "").partition(":")
 pause = float(_ms or 0.0) / 1000.0
 ahead = float(os.environ.get("LANDINGSHIFT_CLOCK", "") or 0.0)
+booted = os.environ.get("LANDINGSHIFT_BOOT", "")
 history = os.environ.get("LANDINGSHIFT_HISTORY", "")
 
 
@@ -57,6 +59,18 @@
     return time.time() * 1000.0 + ahead
 
 
+def boot() -> tuple[str, float]:
+    """The system's name for this start of the machine, "" where it has none, and ms since then."""
+    if booted:
+        name, _, ms = booted.partition(":")
+        return name, float(ms or 0.0)
+    try:
+        with open("/proc/sys/kernel/random/boot_id") as file:
+            return file.read(64).strip(), time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+    except (OSError, AttributeError):
+        return "", 0.0
+
+
 def note(what: str, *values: object) -> None:
     """One line of the history: monotonic ms, which all processes of a machine share, and what was so then."""
     if history:
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -5,6 +5,7 @@
 import os
 import tempfile
 import unittest
+from pathlib import Path
 from random import Random
 
 from landingshift import points
@@ -12,8 +13,10 @@
 from landingshift.coldstart.agent import Lending
 from landingshift.coldstart.leases import Lender, fair
 from landingshift.coldstart.pauses import Pauses, aim, spread
+from landingshift.coldstart.quiet import Boot, quiet
 from landingshift.coldstart.places import REST, Pace, Places, Wish, order
 from landingshift.coldstart.seek import ANSWER, Seek
+from landingshift.coldstart.snapshot import mark, marked, unmark
 from landingshift.coldstart.start import Stage, Start
 from landingshift.coldstart.strain import UNKNOWN, Strain
 from landingshift.fleet.messages import Record, State
@@ -44,6 +47,34 @@
             self.assertIsNone(lending.asked(who, ask, 1.0))
 
 
+class Quiet(unittest.TestCase):
+    def test_only_a_mark_of_another_boot_proves_that_nothing_is_believed_any_more(self) -> None:
+        for had, boot, uptime, ms in [
+            ("", "b", 9e9, 1830.0),  # its first run, or a disk that was lost
+            ("b", "b", 9e9, 1830.0),  # killed and started again
+            ("a", "b", 9e9, 0.0),
+            ("a", "b", 800.0, 1030.0),  # it may have granted just before the power went
+            ("a", "", 0.0, 1830.0),  # a system that tells no boot
+            ("a", "b", -50.0, 1830.0),
+        ]:
+            with self.subTest(had=had, uptime=uptime):
+                self.assertEqual(quiet(1830.0, Boot(boot, uptime), had), ms)
+
+    def test_the_mark_is_there_and_back_and_what_cannot_be_read_is_none(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = f"{folder}/n1.boot"
+            self.assertEqual(marked(path), "")
+            mark(path, "first")
+            mark(path, "second")
+            self.assertEqual(marked(path), "second")
+            self.assertTrue(unmark(path))
+            self.assertTrue(unmark(path))
+            Path(path).write_bytes(b"\xff\xfe")
+            self.assertEqual(marked(path), "")
+            with self.assertRaises(OSError):
+                mark(f"{folder}/none/n1.boot", "x")
+
+
 class PlacesToStart(unittest.TestCase):
     def test_who_is_next(self) -> None:
         def wishes(*rows: tuple[str, str, float, float]) -> dict[str, Wish]:
