--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 
 import click
@@ -99,13 +99,27 @@
 @click.option("--repeats", type=click.IntRange(1, 1_000_000), default=20, show_default=True)
 @processes(100)
 @common(["floor", "end"])
+@click.option("--plot", type=click.Path(dir_okay=False), help="The simulated day, to this picture.")
 def upkeep(
-    repeats: int, servers: int, seed: int, file: str | None, broken: str | None, only: str | None
+    repeats: int,
+    servers: int,
+    seed: int,
+    file: str | None,
+    broken: str | None,
+    only: str | None,
+    plot: str | None,
 ) -> None:
     """Machines go out for work within what the floor leaves, whatever fails meanwhile."""
+    from landingshift.lab.plots import day
     from landingshift.lab.upkeep import experiment
 
-    show(experiment(repeats, seed, servers, broken or "", only), file)
+    def drawn() -> Iterator[Row]:
+        for row in experiment(repeats, seed, servers, broken or "", only):
+            if plot and "day" in row.series:
+                day(row.series["day"], plot)
+            yield row
+
+    show(drawn(), file)
 
 
 @group.command()
--- a/landingshift/lab/plots.py
+++ b/landingshift/lab/plots.py
@@ -5,6 +5,28 @@
 from typing import Any
 
 
+def day(shown: list[tuple[float, float, float, float, int]], path: str) -> None:
+    """Work over a day: minutes, capacity that serves, what is asked for, what must stay in, machines away."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    minutes = [s[0] for s in shown]
+    figure, (rates, away) = pyplot.subplots(2, 1, figsize=(9, 6), sharex=True)
+    for at, name in ((1, "capacity that serves"), (2, "asked for"), (3, "must stay in")):
+        rates.plot(minutes, [s[at] for s in shown], label=name)
+    away.plot(minutes, [s[4] for s in shown])
+    rates.set_ylabel("RPCs a second")
+    away.set_ylabel("machines away")
+    away.set_xlabel("minutes since all were asked for")
+    rates.set_ylim(bottom=0)
+    rates.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
 def starts(runs: dict[str, dict[str, Any]], path: str) -> None:
     """`runs`: by name, `by_second` (s, servers warm, calls so far), `servers` and `bears` calls a second."""
     import matplotlib
--- a/landingshift/lab/upkeep.py
+++ b/landingshift/lab/upkeep.py
@@ -153,6 +153,14 @@
         server = self.servers[name]
         server.up, server.back_at = False, self.now + ms
 
+    def shown(self, began: float) -> tuple[float, float, float, float, int]:
+        """Minutes, capacity that serves, what is asked for, what must stay in, and how many are away."""
+        fleet = self.servers.values()
+        warm = sum(s.machine.capacity * s.warmth(self.now, self.cold) for s in fleet)
+        asked = self.load(self.now) * sum(s.machine.capacity for s in fleet)
+        least = self.foreman.floor().limits[0].least
+        return (self.now - began) / MINUTE, warm, asked, least, sum(not s.up for s in fleet)
+
     def check(self, demand: float) -> None:
         """How far capacity is above the floor; and nobody leaves on a permission that is not in force."""
         whole = sum(s.machine.capacity for s in self.servers.values())
@@ -171,6 +179,7 @@
     began = day.now
     while day.book.wishes and day.now < 24 * 60 * MINUTE:
         day.step(step)
+        row.series.setdefault("day", []).append(day.shown(began))
     took = day.now - began
     machines = [s.machine for s in day.servers.values()]
     whole = sum(m.capacity for m in machines)
@@ -311,8 +320,8 @@
         if only in (None, name):
             yield virtual(name, repeats, seed, away)
     if servers:
-        from landingshift.lab.upkeep_real import REAL
+        from landingshift.lab.upkeep_real import LONG, REAL
 
-        for name in REAL:
-            if only in (None, name):
-                yield many_real(name, REAL[name], servers, repeats, seed)
+        for name, play in (REAL | LONG).items():
+            if only == name or (only is None and name in REAL):
+                yield many_real(name, play, servers, repeats, seed)
--- a/landingshift/lab/upkeep_real.py
+++ b/landingshift/lab/upkeep_real.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -185,6 +186,27 @@
     must(row, ends == dict.fromkeys(names(y), "done"), f"they ended as {ends}")
 
 
+def service(y: Yard, row: Row) -> None:
+    """The share of RPCs answered ok while all are replaced, beside the same time without work."""
+    y.start_all()
+    time.sleep(3.0)
+    before = Counter(y.rig.ends)
+    y.wish(names(y))
+    began = time.monotonic()
+    must(row, y.over(names(y), 30.0 + 15.0 * y.count), f"not over: {y.state(y.leader())}")
+    took = time.monotonic() - began
+    between = Counter(y.rig.ends)
+    time.sleep(took)
+    after = Counter(y.rig.ends)
+    share = [100.0 * d["ok"] / max(1, sum(d.values())) for d in (between - before, after - between)]
+    row.figures |= {
+        "took_s": round(took, 1),
+        "ok_with_work": round(share[0], 2),
+        "ok_without": round(share[1], 2),
+    }
+    must(row, share[0] >= share[1] - 1.0, f"{share[0]:.2f} % ok with work, {share[1]:.2f} % without")
+
+
 def zone_meanwhile(how: str, y: Yard, row: Row) -> None:
     """While two are out a zone gets a notice from outside, or loses its power and starts cold: that goes
     before all else, takes from the allowance, and what is wanted ends all the same."""
@@ -336,6 +358,7 @@
     y.version(row, 1, 15.0)
 
 
+LONG: dict[str, Any] = {"real_service": case(service)}
 REAL: dict[str, Any] = {
     "real_all_replaced": case(all_replaced),
     "real_crash_meanwhile": case(crash_meanwhile, 0.45),  # two may be out at peaks of a second, too
