--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -4,11 +4,15 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from landingshift.lab.rows import Row
 
+if TYPE_CHECKING:
+    from landingshift.lab.days import Day
+
 BROKEN = 1
 
 
@@ -165,6 +169,15 @@
         show([row], None)
 
 
+def kept(path: str) -> Day:
+    from landingshift.lab.days import read
+
+    try:
+        return read(Path(path).read_bytes())
+    except ValueError as err:
+        raise click.UsageError(f"{path}: {err}") from err
+
+
 @group.command()
 @click.argument("day", type=click.Path(exists=True, dir_okay=False))
 @click.option("--log", is_flag=True, help="All that happened, a line each.")
@@ -176,10 +189,7 @@
     from landingshift.lab.promises import broken as judged
     from landingshift.lab.town import OVERLAP, Town
 
-    try:
-        found = days.read(Path(day).read_bytes())
-    except ValueError as err:
-        raise click.UsageError(f"{day}: {err}") from err
+    found = kept(day)
     click.echo("\n".join(days.told(found)))
     history = Town(found, broken or "").play()
     if log:
@@ -199,11 +209,7 @@
     from landingshift.lab import days
     from landingshift.lab.fleet import smaller
 
-    try:
-        found = days.read(Path(day).read_bytes())
-    except ValueError as err:
-        raise click.UsageError(f"{day}: {err}") from err
-    least, promise, played = smaller(found, broken or "", plays)
+    least, promise, played = smaller(kept(day), broken or "", plays)
     if not promise:
         raise click.UsageError(f"{day}: all promises hold on it")
     beside = Path(day).with_suffix(".small.json")
--- a/landingshift/lab/days.py
+++ b/landingshift/lab/days.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Container
 from random import Random
 
 import msgspec
@@ -151,6 +152,20 @@
     return Act(at, kind, who, lasts, chance.choice(how.amounts))
 
 
+def cuts(one: Act, side: Container[object], a: object, b: object, since: float) -> bool:
+    """Whether it keeps what `a` sends from `b`; `side`: those it is done to, `since` ms under way."""
+    match one.kind:
+        case "cut_off" | "halves":
+            return (a in side) != (b in side)
+        case "mute":
+            return a in side
+        case "deaf":
+            return b in side
+        case "flaps":
+            return int(since / one.amount) % 2 == 0 and (a in side) != (b in side)
+    return False
+
+
 def told(day: Day) -> list[str]:
     """The day as it would be written up."""
     how = "stand aside" if day.aside else "serve on"
--- a/landingshift/lab/fleet_real.py
+++ b/landingshift/lab/fleet_real.py
@@ -19,7 +19,7 @@
 
 from landingshift.fleet.talk import NoAnswer
 from landingshift.lab import MEMORY
-from landingshift.lab.days import BETWEEN, KINDS, Act, act
+from landingshift.lab.days import BETWEEN, KINDS, Act, act, cuts
 from landingshift.lab.policy_real import ENDED, OVERLAP
 from landingshift.lab.promises import loans, permissions
 from landingshift.lab.rows import Row, must
@@ -146,11 +146,12 @@
     def links(self) -> None:
         """Loss, doubles, delay and load are the most of all acts under way; a cut holds while any does."""
         under, rig = list(self.under.values()), self.rig
-        cuts = [(a, {rig.name(i) for i in a.who}) for a in under if a.kind in BETWEEN and a.who]
+        sides = [(a, {rig.name(i) for i in a.who}) for a in under if a.kind in BETWEEN and a.who]
         began = self.began
 
         def cut(a: str, b: str) -> bool:
-            return any(cuts_off(one, side, a, b, time.monotonic() - began) for one, side in cuts)
+            at = (time.monotonic() - began) * 1000.0
+            return any(cuts(one, side, a, b, at - one.at) for one, side in sides)
 
         def most(kind: str) -> float:
             return max((a.amount for a in under if a.kind == kind), default=0.0)
@@ -231,19 +232,6 @@
         row.series["answers"], row.series["sizes"] = self.answers, self.sizes
 
 
-def cuts_off(one: Act, side: set[str], a: str, b: str, at: float) -> bool:
-    match one.kind:
-        case "cut_off" | "halves":
-            return (a in side) != (b in side)
-        case "mute":
-            return a in side
-        case "deaf":
-            return b in side
-        case "flaps":
-            return int((at * 1000.0 - one.at) / one.amount) % 2 == 0 and (a in side) != (b in side)
-    return False
-
-
 def size_of(pid: int) -> tuple[float, int] | None:
     """MB that are resident, and open descriptors."""
     try:
--- a/landingshift/lab/town.py
+++ b/landingshift/lab/town.py
@@ -15,7 +15,7 @@
 from landingshift.agreement.voter import Stored
 from landingshift.agreement.voter import Times as Beats
 from landingshift.coldstart.agent import Plan as StartPlan
-from landingshift.lab.days import BETWEEN, ERRANDS, Act, Coverage, Day
+from landingshift.lab.days import ERRANDS, Act, Coverage, Day, cuts
 from landingshift.lab.home import CAPACITY, METHODS, WAIT, Disk, Home, Sent, address, text
 from landingshift.lab.promises import History
 from landingshift.lab.rise import Store
@@ -83,6 +83,7 @@
         self.homes: dict[int, Home] = {}
         self.runs = [0] * servers
         self.under: dict[int, Act] = {}  # acts that are under way, by their place in the day
+        self.sides = [{address(i) for i in act.who} for act in day.acts]
         self.list_up = True
         self.rate = day.load * servers * CAPACITY  # RPCs a second
         self.more = 1.0
@@ -154,20 +155,8 @@
     # The network
 
     def cut(self, a: Address, b: Address) -> bool:
-        return any(self.cuts(act, a, b) for act in self.under.values() if act.kind in BETWEEN)
-
-    def cuts(self, act: Act, a: Address, b: Address) -> bool:
-        side = {address(i) for i in act.who}
-        match act.kind:
-            case "cut_off" | "halves":
-                return (a in side) != (b in side)
-            case "mute":
-                return a in side
-            case "deaf":
-                return b in side
-            case "flaps":
-                return int((self.world.now - act.at) / act.amount) % 2 == 0 and (a in side) != (b in side)
-        return False
+        now = self.world.now
+        return any(cuts(act, self.sides[place], a, b, now - act.at) for place, act in self.under.items())
 
     def links(self) -> None:
         """Loss, doubles and delay are the most of all acts under way."""
