Who starts when none of its settings' voters runs any more asks whoever is there

Cause: voters are replaced one at a time, but a server knows those of its settings; once all of these had ended for good, one that started asked nobody else and was never counted. Change: after two rounds of all voters it knows without an answer a follower asks anybody whom the fleet sees; a server that is no voter names the leader that answers it.

--- a/landingshift/lab/assent.py
+++ b/landingshift/lab/assent.py
@@ -45,6 +45,7 @@
             name, self.run, hall.plan, check, stored, hall.chance, now, lambda: hall.world.now, TIMES
         )
         self.follower = self.part.follower
+        self.follower.others = lambda: [n for n in hall.names if n != name and n not in hall.down]
         self.decide_at = now + LOOK * hall.chance.random()
         hall.without(self)
 
--- a/landingshift/lab/home.py
+++ b/landingshift/lab/home.py
@@ -116,6 +116,7 @@
         self.part = Part(
             self.name, me.run, town.rules, lambda policy: "", journal, chance, now, self.wall, town.times
         )
+        self.part.follower.others = lambda: self.node.members.present
         self.hand = Hand(self.disk.mark)
         self.book = Book()
         self.foreman: Foreman | None = None
--- a/landingshift/lab/policy.py
+++ b/landingshift/lab/policy.py
@@ -254,6 +254,12 @@
     id = hall.propose("n5", 1)
     hall.run(2000.0)
     taken(row, hall, id)
+    for name in ("n0", "n1", "n2"):  # none of the settings' voters runs any more
+        hall.kill(name)
+    hall.kill("n5")
+    hall.start("n5")
+    hall.run(12_000.0)
+    must(row, hall.minds["n5"].follower.joined, "n5 does not find the leader among those that are there")
     hall.settle()
     return hall
 
--- a/landingshift/policies/follower.py
+++ b/landingshift/policies/follower.py
@@ -92,6 +92,7 @@
         self.ends: dict[str, tuple[str, int, str]] = {}  # how the last changes ended that it was asked about
         self.voters = list(plan.voters)  # as the leader told them last
         self.named: tuple[str, ...] = ()  # as its own log has them, where it is or was a voter
+        self.others: Callable[[], list[str]] = list  # who else is there, as the fleet has it
         self.spare = False  # whether this one could be a voter: it has a journal
         self.leader, self.turn = "", chance.randrange(len(plan.voters))
         self.number = self.accepted = self.silent = self.unheard = self.turns = 0
@@ -131,6 +132,9 @@
             asked = [*self.voters, *(name for name in self.named if name not in self.voters)]
             self.turn = (self.turn + 1) % len(asked)
             self.leader, self.silent = asked[self.turn], 0
+            others = self.others() if self.unheard >= LOST * len(asked) else []
+            if others and self.turn == 0:  # none of those whom it knows is there: anybody knows the leader
+                self.leader = self.chance.choice(others)
         self.number += 1
         self.silent += 1
         self.sent[self.number] = self.asked_at = now
--- a/landingshift/policies/part.py
+++ b/landingshift/policies/part.py
@@ -132,6 +132,9 @@
                     self.desk.here(who, rest, now, self.follower.leader if self.follower.joined else "")
                     if self.desk.next() <= now:
                         self.desk.step(now)
+                elif len(rest) > 1 and isinstance(rest[1], int):
+                    known = self.follower.leader if self.follower.joined else ""
+                    self.out.append((who, ["ask", rest[1], known]))
             case ["want", str(change), int(version)]:
                 if self.desk is not None:
                     self.desk.wants(who, change, version, now)
--- a/landingshift/policies/service.py
+++ b/landingshift/policies/service.py
@@ -60,6 +60,7 @@
         self.full_since, self.save_at = -1.0, 0.0  # since when the disk takes nothing; next try
         self.timer: Timer | None = None
         self.seen: tuple[Any, ...] = ("", Stage.NONE, "", False, "")
+        self.part.follower.others = lambda: self.node.members.present
         self.node.rooms[ROOM] = self.hear
         self.router.before = self.before
         self.router.health_state.hold(self.name)  # no gateway need hear of one that can't decide yet
