--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -132,9 +132,7 @@
 @click.option("--repeats", type=click.IntRange(1, 1000), default=1, help="Real runs.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Failing days, made smaller, to this folder.")
 @processes(200)
-@common(
-    ["lease", "ask", "sure", "arm", "disk", "quiet", "booking", "end", "floor", "due", "grace", "suspect"]
-)
+@common(["lease", "ask", "sure", "arm", "quiet", "booking", "end", "floor", "due", "grace", "suspect"])
 def fleet(
     days: int,
     minutes: float,
