Experiments choose their real rows in one place; what nothing calls is gone

Cause: the last reading found the loop that picks rows of real processes written in policy.py and again in upkeep.py, the grace of a drain as a number in two modules, a function (town.errands), a constant (home.RUNS), a condition that never held (fleet_real.drawn) and a branch for a defence that is not offered any more. Change: rows.all_real serves both experiments; GRACE stands in promises.py and the homes take it from there; the rest is removed. Behaviour as before: no test, bound or expectation changed.

--- a/landingshift/lab/fleet_real.py
+++ b/landingshift/lab/fleet_real.py
@@ -43,12 +43,11 @@
 
 def drawn(seed: int, servers: int, seconds: float) -> list[Act]:
     chance = Random(f"{seed} real day")
-    kinds = [name for name in HERE if servers > 2]
-    weights = [KINDS[name].weight for name in kinds]
+    weights = [KINDS[name].weight for name in HERE]
     acts = []
     for _ in range(max(3, int(seconds / EACH))):
         at = round(chance.uniform(0.0, max(1.0, seconds - 3.0)) * 1000.0)
-        acts.append(act(chance, chance.choices(kinds, weights)[0], at, servers, seconds * 1000.0))
+        acts.append(act(chance, chance.choices(HERE, weights)[0], at, servers, seconds * 1000.0))
     return sorted(acts, key=lambda a: (a.at, a.kind, a.who))
 
 
--- a/landingshift/lab/home.py
+++ b/landingshift/lab/home.py
@@ -34,6 +34,7 @@
     Stopping,
     Tenant,
 )
+from landingshift.lab.promises import GRACE
 from landingshift.lab.virtual import Address, Host
 from landingshift.policies.part import Part
 from landingshift.upkeep.book import NAME, Book
@@ -47,14 +48,12 @@
 LOOK = 200.0  # ms between two steps of the common start
 BUSY, REST = 500.0, 2000.0  # between two reports to the leader of work
 STOP = 3000.0  # from a notice to the end of the process
-GRACE = 300.0  # of a drain: what comes after it is not run
 CORES, WORK = 2, 250.0  # ms of a core that one RPC takes
 CAPACITY = CORES * 1000.0 / WORK  # RPCs a second
 FILL = 8  # calls that fill a server's cache; one RPC in FILL calls once it is filled
 COLD = 2000.0
 WAIT = 3000.0  # ms that a caller waits
 STORE = 300.0  # longest that a call is waited for
-RUNS = 100_000
 
 
 def address(i: int) -> Address:
@@ -272,8 +271,7 @@
             away, self.disk.dies = self.disk.dies, 0.0
             self.town.kill(self.i, away)
             return False
-        if self.away != "disk":
-            self.disk.journal = copied(stored)
+        self.disk.journal = copied(stored)
         self.part.saved(self.clock())
         self.part.deliver(self.clock())
         return True
--- a/landingshift/lab/policy.py
+++ b/landingshift/lab/policy.py
@@ -10,7 +10,7 @@
 
 from landingshift.lab.assent import Hall, address, play
 from landingshift.lab.promises import broken
-from landingshift.lab.rows import Row, many_real, must
+from landingshift.lab.rows import Row, all_real, must
 from landingshift.lab.search import Search
 from landingshift.agreement.voter import Role
 from landingshift.policies.part import ENDED
@@ -330,6 +330,4 @@
     if servers:
         from landingshift.lab.policy_real import LONG, REAL
 
-        for name, play in (REAL | LONG).items():
-            if only == name or (only is None and name in REAL):
-                yield many_real(name, play, servers, repeats, seed)
+        yield from all_real(REAL, LONG, only, servers, repeats, seed)
--- a/landingshift/lab/promises.py
+++ b/landingshift/lab/promises.py
@@ -185,7 +185,7 @@
     return broken
 
 
-GRACE = 300.0
+GRACE = 300.0  # ms of a drain: what comes after it is not run
 
 
 def loans(history: History, which: int) -> float:
--- a/landingshift/lab/rows.py
+++ b/landingshift/lab/rows.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -46,6 +46,20 @@
     return row
 
 
+def all_real(
+    rows: dict[str, Callable[[str, int, int, Row], None]],
+    long: dict[str, Callable[[str, int, int, Row], None]],
+    only: str | None,
+    servers: int,
+    runs: int,
+    seed: int,
+) -> Iterator[Row]:
+    """Those of `rows`, or the one that is asked for; the `long` ones only where one of them is."""
+    for name, play in (rows | long).items():
+        if only == name or (only is None and name in rows):
+            yield many_real(name, play, servers, runs, seed)
+
+
 def merge(had: dict[str, Any], new: dict[str, Any]) -> None:
     """Counts are added up, of other figures the largest stays."""
     for key, value in new.items():
--- a/landingshift/lab/town.py
+++ b/landingshift/lab/town.py
@@ -15,7 +15,7 @@
 from landingshift.agreement.voter import Stored
 from landingshift.agreement.voter import Times as Beats
 from landingshift.coldstart.agent import Plan as StartPlan
-from landingshift.lab.days import ERRANDS, Act, Coverage, Day, cuts
+from landingshift.lab.days import Act, Coverage, Day, cuts
 from landingshift.lab.home import CAPACITY, METHODS, WAIT, Disk, Home, Sent, address, text
 from landingshift.lab.promises import History
 from landingshift.lab.rise import Store
@@ -397,7 +397,3 @@
         if lead is not None and lead.part.book.open:
             found.append(f"{lead.part.book.open} is under way, of {open_}")
         return found
-
-
-def errands(day: Day) -> int:
-    return sum(a.kind in ERRANDS for a in day.acts)
--- a/landingshift/lab/upkeep.py
+++ b/landingshift/lab/upkeep.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Any
 
-from landingshift.lab.rows import Row, many_real, must
+from landingshift.lab.rows import Row, all_real, must
 from landingshift.upkeep.book import Book, command
 from landingshift.upkeep.floor import Floor, Machine, Needs
 from landingshift.upkeep.foreman import Foreman, Plan
@@ -322,6 +322,4 @@
     if servers:
         from landingshift.lab.upkeep_real import LONG, REAL
 
-        for name, play in (REAL | LONG).items():
-            if only == name or (only is None and name in REAL):
-                yield many_real(name, play, servers, repeats, seed)
+        yield from all_real(REAL, LONG, only, servers, repeats, seed)
