A repeat is known by its arrival, and as long as its first try runs

Cause (Kept.find): the window was compared with the time of reading, so that a tokened RPC which came within the window and was read after it ran again; an entry whose owner was still running lapsed under it, so that a second run could start beside the first; shrink dropped both. Seen by reading and forced by tests; ruled out: the module's own list, which only counts memory. An entry now counts to the arrival, never lapses under a run, and is ended when its owner goes unrun after its time. An id that is in use and has started here gets aborted, not pushed back as never run: who hears the latter has it run elsewhere as well.

--- a/landingshift/net/routing/kept.py
+++ b/landingshift/net/routing/kept.py
@@ -22,18 +22,22 @@
 
 
 class Kept:
-    def __init__(self, bound: int, share_for: float) -> None:
-        self.bound, self.share_for, self.bytes = bound, share_for, 0
+    def __init__(self, bound: int, share_for: float, oldest: float = 0.0) -> None:
+        """`oldest`: ms since a repeat came to the machine, at most."""
+        self.bound, self.share_for, self.oldest, self.bytes = bound, share_for, oldest, 0
         self.entries: dict[tuple[bytes, str], Entry] = {}
 
     def find(self, rpc: Routed, now: float) -> Entry | None:
         entry = self.entries.get(rpc.subject) if rpc.subject else None
         if entry is None:
             return None
-        stale = entry.until <= now
-        if rpc.method.effect is Effect.IDEMPOTENT and entry.outcome is not None:
+        if entry.outcome is None:
+            return entry  # its effect may be under way: a second run beside it would have it twice
+        # The window counts to the time at which a repeat came to the machine: it may be read long after.
+        stale = entry.until <= now - rpc.waited
+        if rpc.method.effect is Effect.IDEMPOTENT:
             stale = stale or entry.result is None or now - entry.ended > self.share_for
-        if stale and not entry.waiting:
+        if stale:
             self.remove(entry)
             return None
         return entry
@@ -74,7 +78,9 @@
         """Bounded memory: oldest results go first; that an effect has happened is not forgotten for it."""
         if self.bytes <= self.bound:
             return
-        for entry in [e for e in self.entries.values() if e.until <= now and not e.waiting]:
+        # A repeat that came within the window may still wait to be read, and what runs must be known by it.
+        over = now - self.oldest
+        for entry in [e for e in self.entries.values() if e.until <= over and e.outcome is not None]:
             self.remove(entry)
         for entry in list(self.entries.values()):
             if self.bytes <= self.bound * 0.9:
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -74,7 +74,8 @@
         self.patience: Timer | None = None  # set while a look waits for the gauges
         self.gauges, self.gauged = Gauges(None, None, None), 0.0
         self.told: dict[str, str] = {}  # fields that each answer carries
-        self.kept = Kept(int(site.memory_mb * KEPT_SHARE * 1048576.0), site.settings.share_for)
+        oldest = LONGEST * max(method.deadline for method in site.settings.methods)
+        self.kept = Kept(int(site.memory_mb * KEPT_SHARE * 1048576.0), site.settings.share_for, oldest)
         self.gateways = Gateways(
             loop,
             site.listen,
@@ -137,7 +138,12 @@
             if f.wait > LONGEST * method.deadline:
                 raise wire.BadField("wait")
             if f.rid in self.by_id:
-                raise wire.BadField("id")  # the engine could not tell the two apart
+                known = self.find(f.rid)  # the engine could not tell the two apart
+                started = known is not None and known.job is not None and known.job.ran
+                if started and method.effect is not Effect.IDEMPOTENT:
+                    connection.answer(call.number, wire.aborted(call.number, self.told))
+                    return  # not as never run: whoever hears that sends it elsewhere, where it runs too
+                raise wire.BadField("id")
             if len(connection.rpcs) >= OPEN:
                 raise wire.BadField("open")
         except wire.BadField as err:
@@ -433,6 +439,11 @@
         if not rpc.answered and not rpc.gone and not rpc.passing:  # nothing read may end without an answer
             self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         rpc.closed = True
+        entry = self.kept.owned(rpc)
+        if entry is not None and entry.outcome is None and (rpc.job is None or not rpc.job.ran):
+            # It outlived its entry unrun: no repeat may wait for what never comes.
+            self.end_kept(entry, Outcome.ABORTED, b"")
+            self.kept.remove(entry)
         if rpc.original is not None:
             rpc.original.waiting.pop(rpc, None)
             rpc.original = None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,7 +12,9 @@
 import threading
 import time
 import unittest
+from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, ClassVar
@@ -102,6 +104,14 @@
 )
 
 
+def until(holds: Callable[[], bool], bound: float = 10.0) -> None:
+    """Waits for a condition; the bound only ends a test that fails."""
+    end = time.monotonic() + bound
+    while not holds():
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.002)
+
+
 class Peer:
     """One side of a connection to the program, read and written by the test itself."""
 
@@ -164,6 +174,28 @@
             self.say("STATS", words[1], 0.2, 1, 0.1, 3)
         raise TimeoutError("no command but STAT")
 
+    @contextmanager
+    def answering(self) -> Iterator[None]:
+        """Tells the gauges in the background until it is left; what else comes meanwhile is lost."""
+        over = threading.Event()
+        self.sock.settimeout(0.02)
+
+        def serve() -> None:
+            while not over.is_set():
+                with suppress(TimeoutError, OSError, EOFError):
+                    words, _ = self.line()
+                    if words[0] == "STAT":
+                        self.say("STATS", words[1], 0.2, 1, 0.1, 3)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        try:
+            yield
+        finally:
+            over.set()
+            thread.join()
+            self.sock.settimeout(10.0)
+
     def expect(self, *words: str) -> bytes:
         got, body = self.next()
         assert got[: len(words)] == list(words), f"{got} where {words} is due"
@@ -193,9 +225,12 @@
         return f"{self.world.ids:016x}"
 
     def probe(self, **fields: str) -> Any:
+        self.send_probe(**fields)
+        return self.message()[3]
+
+    def send_probe(self, **fields: str) -> None:
         self.numbers += 1
         self.send(msgpack.packb([0, self.numbers, "probe", [fields]]))
-        return self.message()[3]
 
     def message(self) -> Any:
         while True:
@@ -206,6 +241,22 @@
                 raise EOFError
             self.unpacker.feed(data)
 
+    def final(self) -> tuple[int, Any]:
+        """The next answer; it may have been asked to go before."""
+        while (message := self.message())[0] != 1:
+            assert message == [2, "goaway", []]
+        return message[1], message[2][0] if message[2] else message[3][0]
+
+    def ends(self) -> str:
+        """How the connection ends, whatever comes before: `closed` or `reset`."""
+        try:
+            while True:
+                self.message()
+        except EOFError:
+            return "closed"
+        except ConnectionResetError:
+            return "reset"
+
     def answer(self) -> tuple[int, Any]:
         """Number and outcome: the bytes of a result, or the error's word."""
         kind, number, error, result = self.message()
@@ -224,14 +275,18 @@
         toml: str = "",
         env: dict[str, str] | None = None,
         command: list[str] | None = None,
+        files: int = 0,
         **change: Any,
     ) -> None:
-        """`toml`: our own settings, in which {folder} stands for the world's folder."""
+        """`toml`: our own settings, in which {folder} stands for the world's folder.
+
+        `files`: the system's limit on descriptors for the program.
+        """
         self.case, self.ids = case, 0
         self.doors()
         self.folder = tempfile.TemporaryDirectory(dir=MEMORY)
         case.addCleanup(self.folder.cleanup)
-        self.toml, self.env, self.command = toml, env or {}, command or []
+        self.toml, self.env, self.command, self.files = toml, env or {}, command or [], files
         self.start(self.config(limits or {}, change), engine)
 
     def start(self, config: Any, engine: bool = True) -> None:
@@ -240,7 +295,7 @@
             path = Path(self.folder.name) / "ours.toml"
             path.write_text(self.toml.replace("{folder}", self.folder.name))
             self.env["LANDINGSHIFT_TOML"] = str(path)
-        self.process = launch(self.folder.name, config, self.env, self.command)
+        self.process = launch(self.folder.name, config, self.env, self.command, self.files)
         case.addCleanup(self.end)
         self.lines: list[dict[str, Any]] = []
         self.address = tuple(self.logged("started")["listen"])
@@ -282,6 +337,26 @@
     def database(self) -> Peer:
         return Peer(self, self.database_door.accept()[0])
 
+    @contextmanager
+    def paused(self) -> Iterator[None]:
+        """What is done meanwhile reaches the program all at once, in one pass of its loop."""
+        self.process.send_signal(signal.SIGSTOP)
+        until(lambda: self.state() == "T")
+        try:
+            yield
+        finally:
+            self.process.send_signal(signal.SIGCONT)
+
+    def state(self) -> str:
+        return Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(") ", 1)[1][0]
+
+    def ends(self) -> int:
+        """Its exit status; what it logged until then is in `lines`."""
+        status = self.process.wait(10.0)
+        assert self.process.stdout is not None
+        self.lines += [json.loads(text) for text in self.process.stdout]
+        return status
+
     def logged(self, event: str, **fields: Any) -> dict[str, Any]:
         """The next log line of this kind."""
         assert self.process.stdout is not None
@@ -309,11 +384,16 @@
 
 
 def launch(
-    folder: str, config: Any, env: dict[str, str] | None = None, command: list[str] | None = None
+    folder: str,
+    config: Any,
+    env: dict[str, str] | None = None,
+    command: list[str] | None = None,
+    files: int = 0,
 ) -> subprocess.Popen[str]:
     path = write(folder, config)
+    within = ["sh", "-c", f'ulimit -n {files}; exec "$0" "$@"'] if files else []
     return subprocess.Popen(
-        [sys.executable, "-m", "landingshift", *(command or [])],
+        [*within, sys.executable, "-m", "landingshift", *(command or [])],
         text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
         env=os.environ | {"GW_CONFIG": str(path)} | (env or {}),
     )  # fmt: skip
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,222 @@
+"""A repeat of an RPC against whatever its first try is going through."""
+
+import time
+import unittest
+from typing import Any
+
+from landingshift.interface import Effect, Method, Outcome
+from landingshift.net.routing.kept import ENTRY, Kept
+from landingshift.net.routing.records import Routed
+from tests.helpers import METHOD, SETTINGS, Bench, Gateway, World, until
+from tests.test_server import prove
+
+TOKENED = Method(Effect.TOKENED, 1000.0, 0.0, 3000.0, 1.0, 0.0, 500.0, False, 0.0)
+
+
+def routed(name: str, waited: float = 0.0, method: Method = TOKENED) -> Routed:
+    return Routed(
+        method=method, tenant=None, remaining=None, waited=waited, kb=1.0, caller=0, hint=None, keyed=False,
+        repeat=False, retry=False, write=False, rid=b"", name=b"m", body=b"", connection=0, number=0,
+        subject=(b"m", name),
+    )  # fmt: skip
+
+
+class Window(unittest.TestCase):
+    """Times in ms; the window of 500 opens when the first try reached the machine, at 0."""
+
+    def table(self) -> tuple[Kept, Routed]:
+        kept, first = Kept(1 << 20, 0.0, oldest=12000.0), routed("a")
+        kept.keep(first, 501.0)
+        return kept, first
+
+    def test_it_counts_to_the_arrival(self) -> None:
+        for read, waited, known in [(400.0, 0.0, True), (700.0, 250.0, True), (700.0, 150.0, False)]:
+            with self.subTest(read=read, waited=waited):
+                kept, first = self.table()
+                entry = kept.owned(first)
+                assert entry is not None
+                kept.end(entry, Outcome.OK, b"r", 100.0)
+                self.assertIs(kept.find(routed("a", waited), read), entry if known else None)
+
+    def test_it_does_not_end_under_a_run(self) -> None:
+        kept, first = self.table()
+        entry = kept.owned(first)
+        assert entry is not None
+        self.assertIs(kept.find(routed("a"), 9000.0), entry)
+        kept.end(entry, Outcome.OK, b"r", 9001.0)
+        self.assertIsNone(kept.find(routed("a"), 9002.0))
+
+    def test_short_memory_forgets_no_effect(self) -> None:
+        kept = Kept(3 * (ENTRY + 100), 0.0, oldest=1000.0)
+        names = ["runs", "late", "within", "over"]
+        owners = {name: routed(name) for name in names}
+        for name, until_ms in [("runs", 10.0), ("late", 1500.0), ("within", 5000.0), ("over", 900.0)]:
+            kept.keep(owners[name], until_ms)
+        for name in names[1:]:
+            entry = kept.owned(owners[name])
+            assert entry is not None
+            kept.end(entry, Outcome.OK, bytes(90), 10.0)
+        entry = kept.owned(owners["within"])
+        assert entry is not None
+        kept.end(entry, Outcome.OK, bytes(2000), 2000.0)
+        self.assertEqual({n for n, rpc in owners.items() if kept.owned(rpc)}, {"runs", "late", "within"})
+
+
+class OnSockets(unittest.TestCase):
+    def tokened(self, w: World, g: Gateway, token: str, **fields: Any) -> tuple[int, str]:
+        return g.rpc("token", once=token, **fields), g.id
+
+    def test_a_repeat_that_came_within_the_window_and_is_read_after_it(self) -> None:
+        w = World(self, settings__classes__1__repeat_window=250.0)
+        g = Gateway(w)
+        came = int(time.time() * 1000)
+        _, first = self.tokened(w, g, "a", at=str(came))
+        w.engine.expect("RUN", first)
+        w.engine.say("DONE 1", first, "good 5", body=b"r")
+        g.answer()
+        until(lambda: time.time() * 1000 > came + 400)
+        n, _ = self.tokened(w, g, "a", at=str(came + 200))
+        self.assertEqual(g.answer(), (n, b"r"))  # from the first run
+        m, rid = self.tokened(w, g, "a")  # this one came after it
+        w.engine.expect("RUN", rid)
+        w.engine.say("DONE 2", rid, "good 5", body=b"s")
+        self.assertEqual(g.answer(), (m, b"s"))
+
+    def test_windows_shorter_than_a_run(self) -> None:
+        for window in (0.0, 100.0):
+            with self.subTest(window=window):
+                w = World(self, settings__classes__1__repeat_window=window)
+                g = Gateway(w)
+                came = time.monotonic()
+                n, first = self.tokened(w, g, "a")
+                w.engine.expect("RUN", first)
+                until(lambda c=came: time.monotonic() > c + 0.25)
+                m, _ = self.tokened(w, g, "a")
+                self.assertTrue(g.probe()[0])
+                w.engine.say("DONE 1", first, "good 5", body=b"r")
+                self.assertEqual(sorted([g.answer(), g.answer()]), [(n, b"r"), (m, b"r")])
+
+    def test_with_the_first_trys_end_in_one_pass(self) -> None:
+        w = World(self)
+        g, h = Gateway(w), Gateway(w)
+        prove(w, h)
+        for i, end in enumerate(("good", "bad")):
+            with self.subTest(end=end):
+                n, first = self.tokened(w, g, end)
+                w.engine.expect("RUN", first)
+                with w.paused():
+                    m, _ = self.tokened(w, h, end)
+                    w.engine.say("DONE", i + 2, first, end, 5, body=b"r" if end == "good" else b"")
+                answer = b"r" if end == "good" else "Failed"
+                self.assertEqual((g.final(), h.final()), ((n, answer), (m, answer)))
+
+    def test_with_the_first_trys_hang_up_in_one_pass(self) -> None:
+        for gone in ("giveUp", "close"):
+            with self.subTest(gone=gone):
+                w = World(self)
+                g, h = Gateway(w), Gateway(w)
+                prove(w, h)
+                n, first = self.tokened(w, g, "a")
+                w.engine.expect("RUN", first)
+                with w.paused():
+                    if gone == "close":
+                        g.sock.close()
+                    else:
+                        g.send(b"\x93\x02\xa6giveUp\x91%c" % n)
+                    m, _ = self.tokened(w, h, "a")
+                self.assertTrue(Gateway(w).probe()[0])
+                w.engine.say("DONE 2", first, "good 5", body=b"r")  # it had started: its effect may be there
+                self.assertEqual(h.answer(), (m, b"r"))
+
+    def test_after_the_first_try_was_pushed_back_it_runs(self) -> None:
+        w = World(self, settings__extra__n_cores=1)
+        g = Gateway(w)
+        g.rpc()
+        w.engine.expect("RUN", g.id)  # takes the only place
+        n, _ = self.tokened(w, g, "a", wait="150")
+        self.assertEqual(g.answer(), (n, "Busy"))
+        m, again = self.tokened(w, g, "a")
+        w.engine.say("DONE 1", f"{1:016x}", "good 5", body=b"r")
+        self.assertEqual(g.answer(), (1, b"r"))
+        w.engine.expect("RUN", again)
+        w.engine.say("DONE 2", again, "good 5", body=b"s")
+        self.assertEqual(g.answer(), (m, b"s"))
+
+    def test_a_first_try_that_outlives_its_window_unrun_holds_nobody(self) -> None:
+        w = World(self, settings__extra__n_cores=1, settings__classes__1__repeat_window=50.0)
+        g = Gateway(w)
+        g.rpc()
+        w.engine.expect("RUN", g.id)
+        n, _ = self.tokened(w, g, "a", wait="500")
+        self.assertEqual(g.answer(), (n, "Busy"))  # long after the window
+        m, again = self.tokened(w, g, "a")
+        w.engine.say("DONE 1", f"{1:016x}", "good 5", body=b"r")
+        self.assertEqual(g.answer(), (1, b"r"))
+        w.engine.expect("RUN", again)
+        w.engine.say("DONE 2", again, "good 5", body=b"s")
+        self.assertEqual(g.answer(), (m, b"s"))
+
+    def test_after_the_first_try_was_aborted_its_result_counts(self) -> None:
+        w = World(self)
+        g = Gateway(w)
+        n, first = self.tokened(w, g, "a", wait="200")
+        w.engine.expect("RUN", first)
+        self.assertEqual(g.answer(), (n, "Failed"))
+        m, _ = self.tokened(w, g, "a")
+        self.assertTrue(g.probe()[0])
+        w.engine.say("DONE 1", first, "good 400", body=b"r")
+        self.assertEqual(g.answer(), (m, b"r"))
+
+    def test_the_same_id_again(self) -> None:
+        w = World(self)
+        g, h = Gateway(w), Gateway(w)
+        for i, (method, answer) in enumerate([("m", "Busy"), ("once", "Failed"), ("token", "Failed")]):
+            with self.subTest(method=method):
+                n = g.rpc(method, once="a")
+                rid = g.id
+                w.engine.expect("RUN", rid)
+                # Told that it never ran, its sender would have it run elsewhere beside the first one.
+                m = h.rpc(method, id=rid, once="a")
+                w.ids -= 1
+                self.assertEqual(h.answer(), (m, answer))
+                if answer == "Busy":  # nothing but an unknown RPC came on it
+                    self.assertEqual(h.ends(), "closed")
+                    h = Gateway(w)
+                w.engine.say("DONE", i + 1, rid, "good 5", body=b"r")
+                self.assertEqual(g.answer(), (n, b"r"))
+
+
+class Clock(unittest.TestCase):
+    def test_steps(self) -> None:
+        """`at` is Unix time: a step shows as age, or as a time to come."""
+        w = World(self)
+        g = Gateway(w)
+        prove_at = int(time.time() * 1000)
+        n = g.rpc(at=str(prove_at))
+        w.engine.expect("RUN", g.id)
+        w.engine.say("DONE 1", g.id, "good 5", body=b"r")
+        self.assertEqual(g.answer(), (n, b"r"))
+        for step, answer in [
+            (-2900, "runs"),
+            (-3100, "Busy"),
+            (4000, "runs"),
+            (6000, "Busy"),
+            (-130000, "Busy"),
+        ]:
+            with self.subTest(step=step):
+                n = g.rpc(at=str(int(time.time() * 1000) + step))
+                if answer == "runs":
+                    w.engine.expect("RUN", g.id)
+                    w.engine.say("DONE", w.ids, g.id, "good 5", body=b"r")
+                    answer = b"r"  # type: ignore[assignment]
+                self.assertEqual(g.answer(), (n, answer))
+
+    def test_age_counts_for_the_deadline_that_is_not_told(self) -> None:
+        b = Bench(method=METHOD, deadline_told=False)
+        job = b.read(waited=2500.0, remaining=None)
+        self.assertEqual(job.due, METHOD.deadline - 2500.0)
+        self.assertFalse(SETTINGS.cold)
+
+
+if __name__ == "__main__":
+    unittest.main()
