A kept result goes to a known RPC only: strangers that repeat a key got a gateway's answer

Cause: Router.joined answers from the table, and only a RUN made the engine say whether it knows the RPC. Mend: on an unproven connection the engine is asked first, by a SKIP of notice 0 and the STAT behind it: NO is the answer for an unknown RPC only.

--- a/landingshift/net/routing/engine.py
+++ b/landingshift/net/routing/engine.py
@@ -38,6 +38,7 @@
     end: int = -1  # where it ends in the link's stream; -1 before it is written
     doubt: bool = False  # given to a link that broke: it may have arrived
     held_back: bool = False
+    known: Callable[[], None] | None = None  # told once it has arrived and the engine knew the RPC
 
 
 class Engine:
@@ -174,6 +175,8 @@
                         self.stream.close("moved")
                 elif not self.ready:
                     self.resend()
+                if any(c.known for c in self.unsure):
+                    self.ask()  # a caller waits for it
             case wire.Tested():
                 told = self.tests.pop(message.tag, None)
                 if told:
@@ -216,9 +219,21 @@
             self.stream.write(command.data)
             command.end = self.stream.queued
 
+    def know(self, rpc: Routed, known: Callable[[], None]) -> None:
+        """Asks whether the RPC came to this machine; one that did not is answered with NO.
+
+        No notice has the number 0, so that an RPC that the engine knows is not changed by this.
+        """
+        self.say(rpc, wire.skip(rpc.rid, 0))
+        assert rpc.command is not None
+        rpc.command.known = known
+        self.ask()
+
     def settle(self, command: Command) -> None:
         if command.rpc.command is command:
             command.rpc.command = None
+            if command.known is not None and not command.rpc.closed:
+                command.known()
 
     def resend(self) -> None:
         self.ready = True
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -253,7 +253,10 @@
     def refused(self, no: engine_wire.No) -> None:
         rpc = self.find(no.rid)
         self.report("engine_no", command=no.command.decode("latin-1"), known=rpc is not None)
-        if rpc is not None and no.command == b"RUN":
+        if rpc is None:
+            return
+        asked = rpc.command is not None and rpc.command.known is not None  # whether it knows the RPC
+        if no.command == b"RUN" or asked:
             connection = self.gateways.table.get(rpc.connection)
             self.done(engine_wire.Done(0, no.rid, Outcome.NOT_SENT, 0.0, b""))
             if connection is not None and not connection.proven:
@@ -428,12 +431,21 @@
         if rpc.closed or rpc.job is None:
             return
         good = entry.outcome is Outcome.OK and entry.result is not None
+        connection = self.gateways.table.get(rpc.connection)
+        if good and connection is not None and not connection.proven:
+            # A stranger that repeats a gateway's key must not be given what was made for that one.
+            self.engine.know(rpc, lambda: self.known(rpc, entry))
+            return
         if good:
             self.ok(rpc, entry.result or b"", entry.work)
         else:
             self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         self.stir().ended(rpc.job, Outcome.OK if good else Outcome.ABORTED, 0.0)
 
+    def known(self, rpc: Routed, entry: Entry) -> None:
+        self.prove(rpc)
+        self.todo.append(lambda: self.joined(rpc, entry))
+
     def closed(self, rpc: Rpc) -> None:
         assert isinstance(rpc, Routed)
         if not rpc.answered and not rpc.gone and not rpc.passing:  # nothing read may end without an answer
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -7,7 +7,7 @@
 from landingshift.interface import Effect, Method, Outcome
 from landingshift.net.routing.kept import ENTRY, Kept
 from landingshift.net.routing.records import Routed
-from tests.helpers import METHOD, SETTINGS, Bench, Gateway, World, until
+from tests.helpers import METHOD, SETTINGS, Bench, Engine, Gateway, World, until
 from tests.test_server import prove
 
 TOKENED = Method(Effect.TOKENED, 1000.0, 0.0, 3000.0, 1.0, 0.0, 500.0, False, 0.0)
@@ -186,6 +186,57 @@
                 self.assertEqual(g.answer(), (n, b"r"))
 
 
+class Strangers(unittest.TestCase):
+    def test_a_kept_result_is_for_gateways_alone(self) -> None:
+        # Whoever repeats a gateway's key on a connection of its own must not get what was made for that one.
+        w = World(self, settings__extra__share_for=60000.0)
+        g = Gateway(w)
+        notice = 0
+        for method, field in (("token", "once"), ("m", "key")):
+            for known in (False, True):
+                for runs in (False, True):  # what it repeats
+                    with self.subTest(method=method, known=known, runs=runs):
+                        notice += 1
+                        told = {field: f"{notice:016x}"}
+                        n, first = g.rpc(method, **told), g.id
+                        w.engine.expect("RUN", first)
+                        if not runs:
+                            w.engine.say("DONE", notice, first, "good 5", body=b"r")
+                            self.assertEqual(g.answer(), (n, b"r"))
+                        h = Gateway(w)
+                        m, rid = h.rpc(method, **told), h.id
+                        if runs:
+                            self.assertTrue(g.probe()[0])
+                            w.engine.say("DONE", notice, first, "good 5", body=b"r")
+                            self.assertEqual(g.answer(), (n, b"r"))
+                        w.engine.expect("SKIP", rid, "0")
+                        if not known:
+                            w.engine.say("NO SKIP", rid)
+                        with w.engine.answering():
+                            self.assertEqual(h.final(), (m, b"r" if known else "Failed"))
+                        if known:
+                            again = h.rpc(method, **told)  # it has proved itself by then
+                            self.assertEqual(h.final(), (again, b"r"))
+                        else:
+                            self.assertEqual(h.ends(), "closed")
+
+    def test_the_link_lost_while_it_is_asked(self) -> None:
+        w = World(self)
+        g, h = Gateway(w), Gateway(w)
+        g.rpc("token", once="a")
+        first = g.id
+        w.engine.expect("RUN", first)
+        w.engine.say("DONE 1", first, "good 5", body=b"r")
+        g.answer()
+        n = h.rpc("token", once="a")
+        w.engine.expect("SKIP", h.id, "0")
+        w.engine.sock.close()
+        w.engine = Engine(w)
+        w.engine.expect("SKIP", h.id, "0")
+        with w.engine.answering():
+            self.assertEqual(h.answer(), (n, b"r"))
+
+
 class Clock(unittest.TestCase):
     def test_steps(self) -> None:
         """`at` is Unix time: a step shows as age, or as a time to come."""
