--- a/landingshift/net/protocol/gateway.py
+++ b/landingshift/net/protocol/gateway.py
@@ -48,7 +48,7 @@
     at: float
     caller: int
     tenant: str
-    wait: float
+    wait: float | None  # where the site's callers do not tell it
     kb: float
     key: str | None
     token: str | None
@@ -139,7 +139,7 @@
         at=number(told, "at", 0.0, 1e15),
         caller=int(number(told, "from", 0.0, 1e9)),
         tenant=text(told, "tenant") or "",
-        wait=number(told, "wait", 0.0, 1e9),
+        wait=number(told, "wait", 0.0, 1e9) if "wait" in told else None,
         kb=number(told, "kb", 1e-6, 2000.0),
         key=text(told, "key"),
         token=text(told, "once"),
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -135,7 +135,11 @@
             now = time.time() * 1000.0
             if not now - OLDEST < f.at < now + AHEAD:
                 raise wire.BadField("at")
-            if f.wait > LONGEST * method.deadline:
+            if f.wait is None and st.settings.deadline_told:
+                raise wire.BadField("wait")
+            # Where callers do not tell how long they wait, their method's deadline says it.
+            wait = method.deadline if f.wait is None else f.wait
+            if wait > LONGEST * method.deadline:
                 raise wire.BadField("wait")
             if f.rid in self.by_id:
                 known = self.find(f.rid)  # the engine could not tell the two apart
@@ -159,8 +163,8 @@
         rpc = Routed(
             method=method,
             tenant=tenant,
-            remaining=min(f.wait, f.at + f.wait - now) if st.settings.deadline_told else None,
-            waited=min(f.wait, max(0.0, now - f.at)),  # longer than it waits tells no more
+            remaining=min(wait, f.at + wait - now) if st.settings.deadline_told else None,
+            waited=min(wait, max(0.0, now - f.at)),  # longer than it waits tells no more
             kb=f.kb,
             caller=f.caller,
             hint=f.hint,
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -237,6 +237,25 @@
             self.assertEqual(h.answer(), (n, b"r"))
 
 
+class NotTold(unittest.TestCase):
+    def test_a_wait_that_callers_do_not_tell(self) -> None:
+        # A site of another customer: every RPC was turned down for the field that it does not have.
+        w = World(self, settings__extra__passes_deadline=False, settings__classes__0__give_up=600.0)
+        g = Gateway(w)
+        n = g.rpc(wait=None)
+        w.engine.expect("RUN", g.id)
+        w.engine.say("DONE 1", g.id, "good 5", body=b"r")
+        self.assertEqual(g.answer(), (n, b"r"))
+        for wait in (None, "2000"):  # what is told all the same is not what counts there
+            came = time.time()
+            n = g.rpc(wait=wait, at=str(int(came * 1000) - 300))
+            w.engine.expect("RUN", g.id)
+            self.assertEqual(g.answer(), (n, "Failed"))
+            self.assertLess(time.time() - came, 0.35)
+        told = Gateway(World(self))
+        self.assertEqual((told.rpc(wait=None), "Busy"), told.answer())  # where they do, it must be there
+
+
 class Clock(unittest.TestCase):
     def test_steps(self) -> None:
         """`at` is Unix time: a step shows as age, or as a time to come."""
