A close loses nothing that waits unread or unsent, on either side of a connection

Found by reading, each forced by a test that fails without its mend (ten of them, by mutation): an own close (quiet, idle, crowded out) fell over an RPC that had come since the last read; cut closed over unread bytes right behind an answer, which resets; half a message of 2 s ended a connection with answers owed; goaway that lay unsent behind answers ran out all the same, and what came until then was dropped; the linger after our half-close ended after a second though a slow reader was still taking its answers, and over unread bytes; who went on sending was read without bound. Cause in gateways.py (rest, cut, make_room) and stream.py (finish). The bound on connections heeds the system's limit on descriptors as well as the one told. Ruled out by test: resets in each state, messages in pieces and in every form, half-closes, floods, idle clients in every place.

--- a/landingshift/handover/state.py
+++ b/landingshift/handover/state.py
@@ -278,7 +278,7 @@
         if stream.unsent:
             stream.unsent.bytes += len(one.out)
         if one.reason:
-            stream.timer = self.loop.after(LINGER, lambda: stream.close(one.reason))
+            stream.timer = self.loop.after(LINGER, stream.linger)
         stream.watch()
         if one.out:
             self.loop.dirty[stream] = None
--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -34,7 +34,7 @@
         """`stream` makes the connection's own."""
         self.gateways, self.reader = gateways, wire.Reader()
         self.rpcs: dict[int, Routed] = {}  # open, by message number
-        self.read = self.probes = self.bad = 0
+        self.read = self.probes = self.bad = self.cut_off = 0
         self.fault = ""  # the field that the last bad RPC had wrong
         self.away = 0.0  # after goaway: when it is closed if the gateway does not
         self.proven = False  # once the engine has known an RPC of it
@@ -73,10 +73,31 @@
             self.arm(WHOLE)
 
     def cut(self, reason: str) -> None:
-        """Whoever breaks the rules is owed no more than what is written: reading on would cost the others."""
+        """Whoever breaks the rules is owed no more than what is written, but that has to reach it.
+
+        Bytes of it that are not read yet make a close a reset, which would take those answers along.
+        """
+        self.cut_off += len(self.rpcs)
+        self.hangup()
+        self.stream.finish(reason)
+
+    def drop(self, reason: str) -> None:
+        """Closes at once one that nobody needs and nothing is owed to."""
         self.stream.flush()
         self.stream.close(reason)
 
+    def crowd_out(self) -> bool:
+        """Whether one that proved nothing could be closed: not if it has brought an RPC since it was read."""
+        self.read_on()
+        if self.stream.reason or not self.rpcs:
+            self.drop("crowded")
+        return not self.stream.open
+
+    def read_on(self) -> None:
+        """What waits in the socket is taken in before a close: the close would reset it away unread."""
+        if self.stream.open and self.stream.reading:
+            self.stream.read()
+
     def turn_down(self, number: int, fault: str, data: bytes) -> None:
         """An RPC that never was one: no gateway sends it, so it ends a connection that proved nothing."""
         self.bad, self.fault = self.bad + 1, fault
@@ -106,7 +127,7 @@
             age=round(self.gateways.loop.now - self.born),
             rpcs=self.read,
             probes=self.probes,
-            open=len(self.rpcs),
+            open=len(self.rpcs) + self.cut_off,
             bad=self.bad,
             fault=self.fault,
         )
@@ -133,21 +154,33 @@
 
     def rest(self) -> None:
         """A quiet connection is asked to go, and closed if it does not; one that proved nothing is closed."""
-        if not self.stream.open:
+        if self.stream.reason or not self.stream.open:
             return
-        now, idle = self.gateways.loop.now, self.gateways.idle
-        left = (self.away or (self.stream.last + idle if self.proven else self.heard + QUIET)) - now
-        whole = self.half + WHOLE - now if self.half else WHOLE
-        if whole <= 1.0:
+        if self.left() <= 1.0:
+            self.read_on()  # may bring an RPC, or its end
+            if self.stream.reason or not self.stream.open:
+                return
+        now, left = self.gateways.loop.now, self.left()
+        if left > 1.0:
+            self.arm(max(LOOK, left))
+        elif self.half and self.half + WHOLE - now <= 1.0:
             self.cut("unfinished")
-        elif self.rpcs or left > 1.0:
-            self.arm(max(LOOK, min(left, whole)))
+        elif self.away and self.stream.out and now < self.away + AWAY:
+            self.arm(LOOK)  # it has not been told yet that it is to go, and what it sends until then counts
         elif self.away:
             self.stream.finish("goaway")
         elif self.proven or (self.read and not self.bad):
             self.goaway()
         else:
-            self.cut("quiet")
+            self.drop("quiet")
+
+    def left(self) -> float:
+        """ms until it is looked at again; not over 1 where it may be closed."""
+        now, idle = self.gateways.loop.now, self.gateways.idle
+        left = (self.away or (self.stream.last + idle if self.proven else self.heard + QUIET)) - now
+        whole = self.half + WHOLE - now if self.half else WHOLE
+        # However long half a message has stood: closing would lose the answers that are owed.
+        return max(LOOK, min(left, whole)) if self.rpcs else min(left, whole)
 
 
 class Gateways:
@@ -198,13 +231,11 @@
     def make_room(self) -> bool:
         """Who is quiet and has proved nothing goes at once; where all have, some are asked to."""
         quiet = sorted(self.quiet(), key=lambda c: (c.proven, c.heard))[: 1 + self.most // 16]
-        for connection in [c for c in quiet if not c.proven]:
-            connection.cut("crowded")
-        gone = any(not c.proven for c in quiet)
-        if not gone and all(c.proven or c.rpcs for c in self.table):
+        gone = [c.crowd_out() for c in quiet if not c.proven]
+        if not any(gone) and all(c.proven or c.rpcs for c in self.table):
             for connection in quiet:
                 connection.goaway()
-        return gone
+        return any(gone)
 
     def let_go(self) -> None:
         """Many that read slowly fill the memory as well as one: the one with most to read goes."""
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 import time
 import traceback
@@ -79,7 +80,7 @@
         self.gateways = Gateways(
             loop,
             site.listen,
-            most=max(8, site.sockets - SPARE),
+            most=max(8, min(site.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - SPARE),
             unsent=int(site.memory_mb * UNSENT_SHARE * 1048576.0),
             idle=site.settings.link_idle,
             news=self,
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -14,7 +14,9 @@
 READS = 8  # chunks taken from one stream before the others have their turn
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 64  # accepted in a row
-LINGER = 1000.0  # ms that the other side has to close after we have
+LINGER = 1000.0  # ms that the other side has to close after we have, or to take some of what it is owed
+LINGERS = 10  # times that it may take some and no more
+DISCARD = 65536  # bytes that are taken off a connection after our half-close, before a close over the rest
 IP_BIND_ADDRESS_NO_PORT = 24  # Linux: the port is chosen once the other side is known, so that they last
 PAUSE = 20.0  # ms without accepting after the descriptors ran out
 Address = tuple[str, int]
@@ -67,6 +69,8 @@
         self.mask = -1  # what the loop watches it for
         self.out = bytearray()
         self.queued = self.sent = 0  # bytes since the start; what is not sent has proved nothing
+        self.discarded = self.lingers = 0  # after our half-close: bytes, and spells of waiting
+        self.lingered = 0  # sent before this spell
         self.last = loop.now  # when bytes last went either way
         self.timer: Timer | None = None
         self.watch()
@@ -112,6 +116,10 @@
             self.last = self.loop.now
             if not self.reason:
                 self.owner.data(data)
+            else:  # after our half-close: it can't be answered any more, so it must not be acted on either
+                self.discarded += len(data)
+                if self.discarded > DISCARD:
+                    self.close(self.reason)
             if not self.open or len(data) < CHUNK:
                 return
 
@@ -151,12 +159,22 @@
             self.watch()
 
     def finish(self, reason: str) -> None:
-        """Closes once all is written; the other side is let read it."""
+        """A half-close once all is written, and a close once the other side has read it and closed too."""
         if self.open and not self.reason:
             self.reason = reason
-            self.timer = self.loop.after(LINGER, lambda: self.close(reason))
+            self.linger()
             self.flush()
 
+    def linger(self) -> None:
+        """Ends the wait for the other side, unless it reads slowly and is owed answers."""
+        taking = self.out and self.sent != self.lingered and self.lingers < LINGERS
+        if self.timer is None or taking:
+            self.lingers, self.lingered = self.lingers + 1, self.sent
+            self.timer = self.loop.after(LINGER, self.linger)
+        else:
+            self.read()  # a close over unread bytes would reset the connection under answers it has not read
+            self.close(self.reason)
+
     def shut(self) -> None:
         if not self.reading:
             self.close(self.reason)
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,399 @@
+"""Connections that end, by whichever side, against what comes on them in the same moment."""
+
+import contextlib
+import socket
+import struct
+import time
+import unittest
+from typing import Any
+
+import msgpack
+
+from landingshift.net.protocol import gateway as wire
+from landingshift.net.routing.gateways import AWAY, QUIET, WHOLE, Connection, Gateways
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.stream import DISCARD, LINGER, LINGERS, Stream
+from tests.helpers import Engine, Gateway, World, until
+from tests.test_server import prove, resident
+
+
+class News:
+    """Takes what gateways send: an RPC is open until the test answers it."""
+
+    def __init__(self) -> None:
+        self.reads: list[int] = []
+        self.probes: list[int] = []
+        self.hung_up: list[int] = []
+
+    def read(self, connection: Connection, call: wire.Call) -> None:
+        connection.rpcs[call.number] = call  # type: ignore[assignment]
+        self.reads.append(call.number)
+
+    def hangup(self, rpc: Any) -> None:
+        self.hung_up.append(rpc.number)
+
+    def probe(self, connection: Connection, call: wire.Call) -> None:
+        self.probes.append(call.number)
+
+
+class Door:
+    """The gateways' part of the program on a loop that is turned by hand, and peers that come."""
+
+    def __init__(self, case: unittest.TestCase, most: int = 64, idle: float = 30000.0) -> None:
+        self.case, self.news, self.ended = case, News(), list[str]()
+        self.loop = Loop(lambda: case.fail("a handler raised"))
+        self.gateways = Gateways(
+            self.loop, ("127.0.0.1", 0), most, unsent=1 << 26, idle=idle, news=self.news, log=self.log
+        )
+        case.addCleanup(self.gateways.listener.close)
+
+    def log(self, event: str, reason: str = "", **_: Any) -> None:
+        if event == "connection":
+            self.ended.append(reason)
+
+    def come(self, proven: bool = False) -> tuple[socket.socket, Connection]:
+        before = set(self.gateways.table)
+        peer = socket.create_connection(self.gateways.listener.address)
+        self.case.addCleanup(peer.close)
+        peer.settimeout(5.0)
+        peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.turn_until(lambda: set(self.gateways.table) != before)
+        (connection,) = set(self.gateways.table) - before
+        self.case.addCleanup(connection.stream.sock.close)
+        connection.proven = proven
+        return peer, connection
+
+    def turn_until(self, holds: Any) -> None:
+        def once() -> bool:
+            self.loop.after(0.0, lambda: None)  # so that the pass waits for nothing
+            self.loop.turn()
+            return bool(holds())
+
+        until(once)
+
+    def later(self, ms: float) -> None:
+        """The loop's clock says so without a pass: what comes now has not been read."""
+        self.loop.now += ms
+
+
+def rpc(number: int = 1) -> bytes:
+    return msgpack.packb([0, number, "m", [{}, b"work"]])
+
+
+def arrives(connection: Connection) -> None:
+    """Waits until bytes are there for it to read."""
+    until(lambda: bool(peek(connection.stream.sock)))
+
+
+def peek(sock: socket.socket) -> bytes:
+    try:
+        return sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return b""
+
+
+class OwnClose(unittest.TestCase):
+    """An RPC that lies in the socket while its connection is about to be closed."""
+
+    def test_quiet_and_idle_ones_are_read_once_more(self) -> None:
+        for why, proven, wait in [("proved nothing", False, QUIET), ("asked to go", True, AWAY)]:
+            with self.subTest(why=why):
+                door = Door(self)
+                peer, connection = door.come(proven)
+                if proven:
+                    connection.goaway()
+                    door.turn_until(lambda c=connection: not c.stream.out)
+                peer.sendall(rpc())
+                arrives(connection)
+                door.later(wait + 1.0)
+                connection.rest()
+                self.assertEqual((door.news.reads, connection.stream.reason), ([1], ""))
+                connection.answer(1, wire.ok(1, b"r", {}))
+                door.turn_until(lambda c=connection: not c.stream.out)
+                self.assertIn(msgpack.packb([1, 1, None, [b"r", {}]]), peer.recv(4096))
+
+    def test_crowding_out_spares_who_has_just_sent(self) -> None:
+        door = Door(self, most=2)
+        (first, one), (second, two) = door.come(), door.come()
+        for _ in range(3):
+            door.turn_until(lambda: True)
+        first.sendall(rpc())
+        arrives(one)
+        self.assertFalse(door.gateways.make_room())  # the one that was quiet for longest has just sent
+        self.assertEqual((door.news.reads, one.stream.open, two.stream.open), ([1], True, True))
+        self.assertTrue(door.gateways.make_room())
+        self.assertEqual((one.stream.open, two.stream.open), (True, False))
+        self.assertEqual(second.recv(10), b"")
+
+    def test_a_half_message_does_not_take_answers_that_are_owed(self) -> None:
+        door = Door(self)
+        peer, connection = door.come(proven=True)
+        peer.sendall(rpc() + rpc(2)[:9])
+        door.turn_until(lambda: door.news.reads)
+        door.later(WHOLE + 1.0)
+        connection.rest()
+        self.assertEqual((connection.stream.open, connection.stream.reason), (True, ""))
+        connection.answer(1, wire.ok(1, b"r", {}))
+        connection.rest()
+        self.assertEqual(msgpack.unpackb(peer.recv(4096))[:3], [1, 1, None])
+        self.assertEqual(connection.stream.reason, "unfinished")  # now nothing is owed
+
+    def test_who_has_not_been_told_to_go_is_listened_to(self) -> None:
+        # `goaway` lies behind answers that a slow reader has not taken: it goes on sending.
+        door = Door(self)
+        peer, connection = door.come(proven=True)
+        peer.sendall(rpc())
+        door.turn_until(lambda: door.news.reads)
+        connection.stream.bound = 1 << 24
+        connection.answer(1, bytes(1 << 23))
+        connection.goaway()
+        door.turn_until(lambda: True)
+        self.assertTrue(connection.stream.out)
+        door.later(AWAY + 1.0)
+        connection.rest()
+        peer.sendall(rpc(2))
+        door.turn_until(lambda: len(door.news.reads) > 1)
+        self.assertEqual(connection.stream.reason, "")
+        door.later(2.0 * AWAY + 1.0)
+        connection.answer(2, b"")
+        connection.rest()
+        self.assertEqual(connection.stream.reason, "goaway")  # nobody holds a place for ever
+
+    def test_nothing_is_acted_on_after_the_half_close(self) -> None:
+        door = Door(self)
+        peer, connection = door.come(proven=True)
+        connection.stream.finish("goaway")
+        peer.sendall(rpc())
+        self.assertEqual(peer.recv(10), b"")
+        peer.close()
+        door.turn_until(lambda: door.ended)
+        self.assertEqual((door.news.reads, door.ended), ([], ["goaway"]))
+
+    def test_who_goes_on_sending_after_it_is_cut(self) -> None:
+        door = Door(self)
+        peer, connection = door.come(proven=True)
+        connection.stream.finish("goaway")
+        peer.setblocking(False)
+        data = bytes(DISCARD // 4)
+
+        def over() -> bool:
+            try:
+                peer.send(data)
+            except BlockingIOError:
+                pass
+            except OSError:
+                return True
+            return not connection.stream.open
+
+        door.turn_until(over)
+        self.assertLess(connection.stream.discarded, 3 * DISCARD)
+
+    def test_an_answer_reaches_who_is_cut(self) -> None:
+        # More of its bytes are unread: a close would be a reset, which takes the answer along.
+        w = World(self)
+        for first, reason in [
+            (msgpack.packb([0, 1, "unknown", [{}, b""]]), "bad_rpc"),
+            (msgpack.packb([0, 1, "probe", [{}]]) + b"\xc1", "garbage"),
+        ]:
+            with self.subTest(reason=reason):
+                g = Gateway(w)
+                with w.paused():
+                    g.send(first + bytes(40000))
+                self.assertEqual(g.message()[1], 1)
+                self.assertEqual(g.ends(), "closed")
+                g.sock.close()
+                self.assertEqual(w.logged("connection")["reason"], reason)
+
+
+class PeerClose(unittest.TestCase):
+    def test_a_slow_reader_that_writes_no_more_gets_all_its_answers(self) -> None:
+        loop = Loop(lambda: self.fail("a handler raised"))
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+        owner = News()
+        owner.ended = lambda reason: None  # type: ignore[attr-defined]
+        stream = Stream(loop, ours, owner, 1 << 24)  # type: ignore[arg-type]
+        data = bytes(1 << 22)
+        stream.write(data)
+        stream.reading = False
+        stream.finish("closed_by_gateway")
+        for _ in range(3):  # spells in each of which it takes something
+            theirs.recv(65536)
+            stream.flush()
+            stream.linger()
+            self.assertTrue(stream.open)
+        stream.linger()
+        self.assertFalse(stream.open)  # nothing taken in a whole spell
+
+    def test_a_spell_without_end_is_none(self) -> None:
+        loop = Loop(lambda: self.fail("a handler raised"))
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+        owner = News()
+        owner.ended = lambda reason: None  # type: ignore[attr-defined]
+        stream = Stream(loop, ours, owner, 1 << 26)  # type: ignore[arg-type]
+        stream.write(bytes(1 << 25))
+        stream.finish("goaway")
+        spells = 0
+        while stream.open and spells < 3 * LINGERS:
+            theirs.recv(4096)
+            stream.sent += 1  # as if a byte had gone
+            stream.linger()
+            spells += 1
+        self.assertLessEqual(spells, LINGERS + 1)
+        self.assertGreater(LINGER, 0.0)
+
+    def test_half_closed_with_an_rpc_and_a_probe_open(self) -> None:
+        w = World(self)
+        g, d = Gateway(w), Gateway(w)
+        n = g.rpc()
+        w.engine.expect("RUN", g.id)
+        with w.paused():
+            d.send_probe(deep="1")
+            for one in (g, d):
+                one.sock.shutdown(socket.SHUT_WR)
+            w.engine.say("DONE 1", g.id, "good 5", body=b"r")
+        self.assertEqual((g.final(), g.ends()), ((n, b"r"), "closed"))
+        self.assertEqual((d.final(), d.ends()), ((1, True), "closed"))
+
+    def test_a_reset_in_each_state(self) -> None:
+        w = World(self)
+        other = Gateway(w)
+        prove(w, other)
+        notice = 1
+        for state in ("idle", "half", "running", "calling", "answered", "half closed"):
+            with self.subTest(state=state):
+                g = Gateway(w)
+                rid = ""
+                if state == "half":
+                    g.send(rpc()[:9])
+                elif state != "idle":
+                    g.rpc("once")
+                    rid = g.id
+                    w.engine.expect("RUN", rid)
+                if state == "calling":
+                    notice += 1
+                    w.engine.say("NEED", notice, rid, body=b"q")
+                    db = w.database()
+                    db.line()
+                if state == "answered":
+                    notice += 1
+                    w.engine.say("DONE", notice, rid, "good 5", body=b"r")
+                    g.answer()
+                if state == "half closed":
+                    g.sock.shutdown(socket.SHUT_WR)
+                    self.assertEqual(g.message(), [2, "goaway", []])
+                g.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                g.sock.close()
+                self.assertIn(w.logged("connection")["reason"], ("reset", "closed_by_gateway"))
+                if state == "calling":
+                    self.assertEqual(db.line()[0], ["X", rid])
+                if state in ("running", "calling", "half closed"):
+                    notice += 1
+                    w.engine.say("DONE", notice, rid, "good 5", body=b"for nobody")
+        m = other.rpc()
+        w.engine.expect("RUN", other.id)
+        w.engine.say("DONE", notice + 1, other.id, "good 5", body=b"r")
+        self.assertEqual(other.answer(), (m, b"r"))
+
+
+class Pieces(unittest.TestCase):
+    def test_every_form_that_the_format_allows(self) -> None:
+        # A gateway's library may choose longer forms than the shortest one.
+        def text(value: str, form: str) -> bytes:
+            raw = value.encode()
+            head = {"8": b"\xd9%c" % len(raw), "16": b"\xda" + struct.pack(">H", len(raw)),
+                    "32": b"\xdb" + struct.pack(">I", len(raw))}  # fmt: skip
+            return head[form] + raw
+
+        def array(count: int, form: str) -> bytes:
+            return {"8": bytes([0x90 | count]), "16": b"\xdc" + struct.pack(">H", count),
+                    "32": b"\xdd" + struct.pack(">I", count)}[form]  # fmt: skip
+
+        def table(count: int, form: str) -> bytes:
+            return {"8": bytes([0x80 | count]), "16": b"\xde" + struct.pack(">H", count),
+                    "32": b"\xdf" + struct.pack(">I", count)}[form]  # fmt: skip
+
+        def number(value: int, form: str) -> bytes:
+            return {"8": b"\xcc%c" % value, "16": b"\xcd" + struct.pack(">H", value),
+                    "32": b"\xd2" + struct.pack(">i", value)}[form]  # fmt: skip
+
+        def blob(value: bytes, form: str) -> bytes:
+            return {"8": b"\xc4%c" % len(value), "16": b"\xc5" + struct.pack(">H", len(value)),
+                    "32": b"\xc6" + struct.pack(">I", len(value))}[form] + value  # fmt: skip
+
+        w = World(self)
+        g = Gateway(w)
+        g.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for i, form in enumerate(("8", "16", "32")):
+            for pieces in (1, 7, 10_000):
+                with self.subTest(form=form, pieces=pieces):
+                    w.ids += 1
+                    told = {"id": f"{w.ids:016x}", "at": str(int(time.time() * 1000)), "from": "1",
+                            "tenant": "t", "wait": "2500", "kb": "2.5", "new": "x"}  # fmt: skip
+                    n = 10 * i + min(pieces, 9)
+                    data = array(4, form) + number(0, form) + number(n, form) + text("m", form)
+                    data += array(2, form) + table(len(told), form)
+                    data += b"".join(text(k, form) + text(v, form) for k, v in told.items())
+                    data += blob(b"\x00work", form)
+                    size = max(1, len(data) // pieces)
+                    for at in range(0, len(data), size):
+                        g.send(data[at : at + size])
+                    self.assertEqual(w.engine.expect("RUN", told["id"]), b"\x00work")
+                    w.engine.say("DONE", w.ids, told["id"], "good 5", body=b"r")
+                    self.assertEqual(g.answer(), (n, b"r"))
+
+
+class Descriptors(unittest.TestCase):
+    def test_idle_clients_in_every_place_while_the_roster_is_silent(self) -> None:
+        w = World(self, limits={"sockets": 96})
+        w.roster.close()
+        g = Gateway(w)
+        prove(w, g)
+        crowd = [Gateway(w) for _ in range(60)]  # more than places; they only keep theirs
+        n = g.rpc()
+        w.engine.expect("RUN", g.id)
+        w.engine.sock.close()  # and the link to the engine needs a descriptor again
+        link = Engine(w)
+        link.say("DONE 2", g.id, "good 5", body=b"r")
+        self.assertEqual(g.answer(), (n, b"r"))
+        self.assertTrue(Gateway(w).probe()[0])
+        self.assertTrue(all(one.closes() for one in crowd))
+
+    def test_fewer_descriptors_than_told(self) -> None:
+        # What the system gives counts: the links to engine and database need theirs beside the gateways'.
+        w = World(self, limits={"sockets": 1024}, files=96)
+        with w.paused():  # each has its RPC there once it is accepted, so that none of them makes room
+            crowd = [Gateway(w) for _ in range(100)]
+            for one in crowd:
+                one.rpc(wait="9000")
+        w.logged("connections_full")
+        ids = [w.engine.next()[0][1] for _ in range(20)]
+        w.engine.say("NEED 1", ids[0], body=b"q")
+        self.assertEqual(w.database().line()[0][:2], ["Q", ids[0]])
+        w.engine.sock.close()
+        self.assertEqual(Engine(w).attached, ["ATTACH", "1"])
+
+    def test_an_honest_gateway_in_a_flood(self) -> None:
+        w = World(self, limits={"sockets": 128})
+        g = Gateway(w)
+        prove(w, g)
+        flood = [msgpack.packb([0, 1, "m", [{"id": "x"}, b""]]), b"\xc1" * 2000, rpc()[:9], b""]
+        crowd = []
+        for i in range(200):
+            crowd.append(Gateway(w))
+            with contextlib.suppress(OSError):  # it has made room already
+                crowd[-1].send(flood[i % len(flood)])
+            if i % 20 == 0:
+                n = g.rpc()
+                w.engine.expect("RUN", g.id)
+                w.engine.say("DONE", i // 20 + 2, g.id, "good 5", body=b"r")
+                self.assertEqual(g.answer(), (n, b"r"))
+        self.assertTrue(all(one.closes() for one in crowd))
+        self.assertLess(resident(w.process.pid), 64.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
