The notice to leave loses nobody: full tables, no engine, late passes, short notices

Listener.ready gave up where the table or the descriptors were full, and Gateways.leave closed over the backlog all the same: RPCs written before the notice were reset. The last accept and the close left a moment for a new connection: SYNs are dropped now from 5 ms before (a filter on the listening socket), so that it is refused, which proves that nothing ran. drain before the engine was up stopped the loop over unread RPCs; HELLO after it listed a server that goes. The grace and the stop were counted from when the loop heard the signal, not from when it came. A notice shorter than 100 ms left running work without an answer. Who kept its side open made the server wait for its kill. A drain that moved to a new build was never ended there. Ruled out by test: second signals, SIGHUP before and after, probes, halves, calls and a lost engine's link in the same pass.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -346,14 +346,15 @@
         if job.at not in (Want.ABORT, Want.LEAVE):
             self.resume(job, News.GONE)
 
-    def quiesce(self, left: float) -> None:
-        self.run_until, self.here = min(self.run_until, self.now + self.set.drain_grace), False
+    def quiesce(self, left: float, ago: float = 0.0) -> None:
+        """The notice, which came `ago` ms before it was heard; `left` until the process is stopped."""
+        self.run_until, self.here = min(self.run_until, self.now - ago + self.set.drain_grace), False
         self.leave_at = self.now + left
         for job in (j for place in self.places.values() for j in place):
             job.due = min(job.due, self.leave_at - TICK)
         self.fails = 0.0
         self.out.health(False, True)
-        self.wake(TICK)
+        self.wake(max(1.0, min(TICK, left - 2.0 * TICK)))  # a short notice leaves no time for a whole tick
         self.out.log(f"draining: {left:.0f} ms left, {len(self.places[Want.HOLD])} held")
 
     def wake(self, delay: float) -> None:
--- a/landingshift/handover/state.py
+++ b/landingshift/handover/state.py
@@ -108,6 +108,7 @@
     draining: bool
     health: list[bool]  # good, cheap, reporting
     idle: float  # limit on the gateways' connections
+    stop_at: float = 0.0  # when a drain ends with the process
 
 
 # Giving
@@ -166,6 +167,7 @@
             cold=r.server.set.cold if r.server is not None else False,
             told=r.told,
             draining=r.draining,
+            stop_at=r.stop_at,
             health=[r.health_state.good, r.health_state.cheap, r.health_state.reporting],
             idle=r.gateways.idle,
         )
@@ -255,6 +257,9 @@
             rpc.stale = [links[i] for i in one.stale if i < len(links)]
         self.engine()
         r.told, r.draining = st.told, st.draining
+        if r.draining:
+            r.stop_at = st.stop_at or loop.now + site.stop_ms
+            r.depart_later()  # the old one's timer stays with it: nobody else would end this drain
         if st.module is not None:
             settings = replace(site.settings, cold=st.cold)
             r.server = Server(settings, site.seed, r, loop.now)
--- a/landingshift/net/program/main.py
+++ b/landingshift/net/program/main.py
@@ -22,18 +22,24 @@
     """Turns signals into events of the loop; from its making on none of them ends the program."""
 
     def __init__(self, loop: Loop) -> None:
-        self.heard: Callable[[int], None] = lambda _: None
+        self.loop = loop
+        self.heard: Callable[[int, float], None] = lambda number, at: None
+        self.came: dict[int, float] = {}  # when the first of its kind came that is not told yet
         self.seen, self.wakes = socket.socketpair()
         self.seen.setblocking(False)
         self.wakes.setblocking(False)
         signal.set_wakeup_fd(self.wakes.fileno(), warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
+            signal.signal(number, self.note)
         loop.watch(self.seen.fileno(), EVENT_READ, self)
 
+    def note(self, number: int, _frame: object) -> None:
+        """Called in the midst of a pass: a notice counts from now on, not from when the pass is over."""
+        self.came.setdefault(number, self.loop.clock())
+
     def ready(self, _mask: int) -> None:
         for number in sorted(set(self.seen.recv(64))):  # many of one kind want no more than one
-            self.heard(number)
+            self.heard(number, self.came.pop(number, self.loop.now))
 
 
 def reload(router: Router, log: Log) -> None:
@@ -67,7 +73,14 @@
     except features.BadFeature as err:
         sys.stderr.write(f"landingshift: {err}\n")
         return 2
-    signals.heard = lambda number: reload(router, log) if number == signal.SIGHUP else router.drain()
+
+    def heard(number: int, at: float) -> None:
+        if number == signal.SIGHUP:
+            reload(router, log)
+        else:
+            router.drain(at)
+
+    signals.heard = heard
     # What is there now stays: collections need not look at it again, and are short.
     gc.collect()
     gc.freeze()
--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -10,7 +10,7 @@
 from landingshift.net.routing.records import Routed
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
-from landingshift.net.transport.stream import ACCEPTS, BACKLOG, Address, Listener, Stream, Unsent
+from landingshift.net.transport.stream import PAUSE, Address, Listener, Stream, Unsent
 
 OPEN = 32  # RPCs that a connection may have open
 BOUND = OPEN * 5000  # what a gateway that keeps to that can leave unread
@@ -20,6 +20,7 @@
 QUIET = 1000.0  # ms that a connection may last which has brought nothing that the engine knew
 WHOLE = 2000.0  # ms from a message's first byte to its last
 LOOK = 50.0  # ms between two looks at a connection, at the least
+BARRED = 5.0  # ms that handshakes under way have to end before the last connections are accepted
 RESET = 30.0  # ms in which a gateway that has gone answers a write with a reset
 
 
@@ -199,12 +200,16 @@
         self.callers_close, self.idle = idle, idle * SILENT
         self.table: Slots[Connection] = Slots()
         self.unsent = Unsent(unsent, self.let_go)
-        self.full = False
+        self.full = self.leaving = False
         self.listener = Listener(loop, address, self.room, self.accept, sock)
 
     def accept(self, sock: socket.socket) -> None:
-        Connection(self, lambda c: Stream(self.loop, sock, c, BOUND, unsent=self.unsent, reads=1))
-        if len(self.table) > self.most:
+        connection = Connection(
+            self, lambda c: Stream(self.loop, sock, c, BOUND, unsent=self.unsent, reads=1)
+        )
+        if self.leaving:
+            connection.goaway(LEAVING)
+        elif len(self.table) > self.most:
             self.make_room()
         if self.full:
             self.full = False
@@ -251,8 +256,19 @@
             connection.rest()
 
     def leave(self) -> None:
-        for _ in range(BACKLOG // ACCEPTS):  # what waits there counts as received: closing it would lose it
-            self.listener.ready(0)
-        self.listener.close()
+        """All are asked to go; no more come once those that wait to be accepted are here."""
+        self.leaving = True
+        self.listener.bar()
         for connection in self.table:
             connection.goaway(LEAVING)
+        self.loop.after(BARRED, self.close)
+
+    def close(self) -> None:
+        # What waits there counts as received: a close over it would lose it, however full the table is.
+        if self.listener.drain():
+            self.listener.close()
+        else:
+            self.loop.after(PAUSE, self.close)
+
+    def gone(self) -> bool:
+        return not self.listener.open and len(self.table) == 0
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -29,6 +29,8 @@
 GAUGES_WAIT = 25.0  # ms that a look waits for the gauges: deadlines do not wait for a silent engine
 GAUGES_LAST = 500.0  # ms that gauges are taken for the state of the cores
 LEAVE = 600.0  # ms before the stop at which connections are asked to go
+END = 20.0  # ms before the stop at which it ends with connections still open
+LOOK = 20.0  # ms between two looks whether all have gone
 MOVES = ("engine", "database", "roster", "stop_ms")  # taken from a new configuration
 FIXED = ("name", "listen", "memory_mb", "sockets", "gauges", "deep_checks")  # taken at the start only
 OLDEST = 120_000.0  # ms since an RPC came to the machine, at most
@@ -90,7 +92,7 @@
         self.database = Database(loop, site.database, self.called, report)
         self.engine = Engine(loop, site.engine, self, report, attach=listener is None)
         self.health_state = Health(loop, site.name, Datagrams(site.roster), self.engine, site.deep_checks)
-        self.draining = False
+        self.draining, self.stop_at = False, 0.0
         self.taps = Taps(report)
         self.mark = ""  # the field that names a client's try, where there is one
         self.gate: Gate | None = None  # where ok answers pass before they go out
@@ -216,12 +218,12 @@
     # What the engine tells
 
     def engine_up(self, hello: engine_wire.Hello) -> None:
+        if self.draining:
+            return  # it leaves without having run anything: no list may name it now
         settings = replace(self.site.settings, cold=hello.cold)
         # The module's clock starts with the cores, which warm up from then on.
         self.server = Server(settings, self.site.seed, self, self.loop.now - hello.age)
         self.health_state.start()
-        if self.draining:
-            self.stir().quiesce(self.site.stop_ms)
 
     def done(self, done: engine_wire.Done) -> None:
         rpc = self.find(done.rid)
@@ -318,30 +320,43 @@
         self.database.move(site.database)
         self.health_state.move(site.roster)
 
-    def drain(self) -> None:
-        """The notice to leave: answers all that was read, then lets the connections go, then ends."""
+    def drain(self, notice: float | None = None) -> None:
+        """The notice to leave: answers all that was read, then lets the connections go, then ends.
+
+        `notice`: when it came. What it allows counts from then, however late the loop gets to it.
+        """
         if self.draining:
             return
         self.draining = True
-        left = self.site.stop_ms
+        ago = max(0.0, self.loop.now - notice) if notice is not None else 0.0
+        left = max(1.0, self.site.stop_ms - ago)
+        self.stop_at = self.loop.now + left
         if self.server is None:
-            self.loop.stop()
+            # Nothing runs here, but what waits unread counts as received: it is told that it never ran.
+            self.depart()
             return
-        self.stir().quiesce(left)
-        away = max(left - LEAVE, left / 2.0)
+        self.stir().quiesce(left, ago)
+        away = self.depart_later()
         if self.gate is not None:
             self.gate.leave(self.loop.now + away)
+
+    def depart_later(self) -> float:
+        """Returns in how many ms."""
+        left = self.stop_at - self.loop.now
+        away = max(left - LEAVE, left / 2.0)
         self.loop.after(away, self.depart)
+        return away
 
     def depart(self) -> None:
         self.gateways.leave()
         self.wait_for_last()
 
     def wait_for_last(self) -> None:
-        if len(self.gateways.table) == 0:
+        # Whoever keeps its side open to the end is owed nothing any more by then; a kill would say no more.
+        if self.gateways.gone() or self.loop.now >= self.stop_at - END:
             self.loop.stop()
         else:
-            self.loop.after(20.0, self.wait_for_last)
+            self.loop.after(LOOK, self.wait_for_last)
 
     # What the module asks for
 
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -4,7 +4,10 @@
 
 import errno
 import socket
+import struct
+from array import array
 from collections.abc import Callable
+from contextlib import suppress
 from selectors import EVENT_READ, EVENT_WRITE
 from typing import Protocol
 
@@ -19,6 +22,10 @@
 DISCARD = 65536  # bytes that are taken off a connection after our half-close, before a close over the rest
 IP_BIND_ADDRESS_NO_PORT = 24  # Linux: the port is chosen once the other side is known, so that they last
 PAUSE = 20.0  # ms without accepting after the descriptors ran out
+SO_ATTACH_FILTER = 26  # Linux
+# Classic BPF over the TCP header: whatever has SYN set is dropped, all else passes.
+STEPS = [(0x30, 0, 0, 13), (0x45, 0, 1, 0x02), (0x06, 0, 0, 0), (0x06, 0, 0, 0xFFFFFFFF)]
+NO_SYN = b"".join(struct.pack("HBBI", *step) for step in STEPS)
 Address = tuple[str, int]
 
 
@@ -237,7 +244,7 @@
         sock: socket.socket | None = None,
     ) -> None:
         """`sock`: one that listens already, with its backlog."""
-        self.loop, self.room, self.take, self.open = loop, room, take, True
+        self.loop, self.room, self.take, self.open, self.draining = loop, room, take, True, False
         if sock is None:
             sock = socket.socket()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -266,16 +273,47 @@
                     continue
                 self.rest()
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.take(sock)
+            self.begin(sock)
+
+    def bar(self) -> None:
+        """No new handshakes: a connection made between the last accept and the close would be reset unread.
+
+        Dropped SYNs are sent again within a second, and refused then; handshakes under way are completed.
+        """
+        program = array("B", NO_SYN)
+        with suppress(OSError):  # elsewhere than on Linux that moment stays, as short as can be
+            filters = struct.pack("HP", len(NO_SYN) // 8, program.buffer_info()[0])
+            self.sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filters)
+
+    def drain(self) -> bool:
+        """Takes all that waits to be accepted; False where more may wait and there are no descriptors."""
+        self.draining = True
+        self.loop.watch(self.sock.fileno(), 0, self)
+        for _ in range(2 * BACKLOG):
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return True
+            except (ConnectionAbortedError, InterruptedError):
+                continue
+            except OSError:  # out of descriptors
+                if not self.room(False):
+                    return False
+                continue
+            self.begin(sock)
+        return False
+
+    def begin(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.take(sock)
 
     def rest(self) -> None:
         self.loop.watch(self.sock.fileno(), 0, self)
         self.loop.after(PAUSE, self.resume)
 
     def resume(self) -> None:
-        if self.open:
+        if self.open and not self.draining:
             self.loop.watch(self.sock.fileno(), EVENT_READ, self)
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,267 @@
+"""The notice to leave against what else may come in the same moment."""
+
+import errno
+import os
+import signal
+import socket
+import unittest
+from typing import Any
+
+import msgpack
+
+from landingshift.interface import Effect
+from landingshift.net.program.main import Signals
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.stream import Listener
+from tests.helpers import METHOD, Bench, Engine, Gateway, World, until
+from tests.test_connections import Door
+
+
+def waiting(w: World, count: int) -> list[Gateway]:
+    """Gateways whose connections wait to be accepted, each with an RPC written."""
+    crowd = [Gateway(w) for _ in range(count)]
+    for one in crowd:
+        one.rpc()
+    return crowd
+
+
+class Backlog(unittest.TestCase):
+    def test_a_full_table_keeps_nobody_out_who_has_come(self) -> None:
+        # Closing the listener over them would reset what was written before the notice.
+        w = World(self, limits={"sockets": 80}, settings__classes__0__late_share=0.0)  # 16 connections
+        crowd = [Gateway(w) for _ in range(16)]
+        for one in crowd:
+            one.rpc(wait="9000")
+        with w.paused():
+            late = waiting(w, 5)
+            w.process.send_signal(signal.SIGTERM)
+        answers = [one.final()[1] for one in crowd + late]
+        self.assertLessEqual(set(answers), {"Busy", "Failed"})
+        for one in crowd + late:
+            one.sock.close()
+        self.assertEqual(w.ends(), 0)
+
+    def test_without_descriptors_the_door_stays_open_until_some_are_free(self) -> None:
+        class Short:
+            """The listening socket of a process that has no descriptors left."""
+
+            def __init__(self, sock: socket.socket) -> None:
+                self.sock, self.short, self.asked = sock, True, 0
+
+            def accept(self) -> Any:
+                self.asked += 1
+                if self.short:
+                    raise OSError(errno.EMFILE, "too many open files")
+                return self.sock.accept()
+
+            def __getattr__(self, name: str) -> Any:
+                return getattr(self.sock, name)
+
+        door = Door(self)
+        waits = socket.create_connection(door.gateways.listener.address)
+        self.addCleanup(waits.close)
+        waits.sendall(msgpack.packb([0, 1, "m", [{}, b"work"]]))
+        short = Short(door.gateways.listener.sock)
+        door.gateways.listener.sock = short  # type: ignore[assignment]
+        door.gateways.leave()
+        door.turn_until(lambda: short.asked > 2)
+        self.assertFalse(door.gateways.gone())
+        short.short = False
+        door.turn_until(lambda: door.news.reads == [1])
+        self.assertFalse(door.gateways.listener.open)
+        for connection in door.gateways.table:
+            connection.stream.close("test")
+        self.assertTrue(door.gateways.gone())
+
+    def test_nobody_comes_between_the_last_accept_and_the_close(self) -> None:
+        loop, taken = Loop(lambda: None), []
+        listener = Listener(loop, ("127.0.0.1", 0), lambda _: True, taken.append)
+        early = socket.create_connection(listener.address)
+        self.addCleanup(early.close)
+        listener.bar()
+        late = socket.socket()
+        self.addCleanup(late.close)
+        late.settimeout(5.0)
+        late.setblocking(False)
+        late.connect_ex(listener.address)
+        self.assertTrue(listener.drain())
+        self.assertEqual(len(taken), 1)
+        taken[0].close()
+        listener.close()
+        # Not a reset, which says nothing, but a refusal: that proves that nothing ran.
+        until(lambda: late.connect_ex(listener.address) != 114, 5.0)  # EALREADY while it is under way
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(listener.address)
+        with self.assertRaises(OSError):
+            late.send(b"x")
+
+
+class NoEngine(unittest.TestCase):
+    def test_what_was_written_is_told_that_it_never_ran(self) -> None:
+        w = World(self, engine=False)
+        known = Gateway(w)
+        self.assertTrue(known.probe()[0])
+        with w.paused():
+            n = known.rpc()
+            late = waiting(w, 1)[0]
+            w.process.send_signal(signal.SIGTERM)
+        self.assertEqual(known.final(), (n, "Busy"))
+        self.assertEqual(late.final(), (1, "Busy"))
+        self.assertEqual([one.ends() for one in (known, late)], ["closed", "closed"])
+        for one in (known, late):
+            one.sock.close()
+        self.assertEqual(w.ends(), 0)
+        self.assertEqual(w.lines[-1]["event"], "stopped")
+
+    def test_an_engine_that_comes_up_after_the_notice_lists_nobody(self) -> None:
+        w = World(self, engine=False)
+        link = Engine(w, hello="")
+        g = Gateway(w)
+        self.assertTrue(g.probe()[0])
+        w.process.send_signal(signal.SIGTERM)
+        self.assertEqual(g.message(), [2, "goaway", []])
+        link.say("HELLO old 60000")
+        w.logged("engine_link")
+        g.sock.close()
+        self.assertEqual(w.ends(), 0)
+        w.roster.setblocking(False)
+        with self.assertRaises(BlockingIOError):  # gateways would send to what is gone
+            w.roster.recv(100)
+
+
+class Notice(unittest.TestCase):
+    def test_signals_while_it_runs_and_again(self) -> None:
+        w = World(self)
+        g = Gateway(w)
+        n = g.rpc()
+        w.engine.expect("RUN", g.id)
+        with w.paused():
+            half = Gateway(w)
+            half.send(b"\x94\x00\x01\xa1m")  # an RPC that never becomes whole
+            w.engine.say("DONE 1", g.id, "good 5", body=b"r")
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+                w.process.send_signal(number)
+        self.assertEqual(g.final(), (n, b"r"))
+        w.logged("mode")
+        w.process.send_signal(signal.SIGTERM)
+        w.process.send_signal(signal.SIGHUP)
+        self.assertFalse(g.probe()[0])
+        g.sock.close()
+        half.sock.close()
+        self.assertEqual(w.ends(), 0)
+
+    def test_a_probe_in_the_same_moment(self) -> None:
+        for deep in ("", "1"):
+            with self.subTest(deep=deep):
+                w = World(self)
+                g = Gateway(w)
+                with w.paused():
+                    g.send_probe(deep=deep)
+                    w.process.send_signal(signal.SIGTERM)
+                self.assertEqual(g.message()[0], 1)
+                self.assertFalse(g.probe()[0])
+                g.sock.close()
+                self.assertEqual(w.ends(), 0)
+
+    def test_a_call_and_an_answer_in_the_same_moment(self) -> None:
+        w = World(self)
+        g = Gateway(w)
+        n = g.rpc()
+        rid = g.id
+        w.engine.expect("RUN", rid)
+        w.engine.say("NEED 1", rid, body=b"q")
+        db = w.database()
+        db.line()
+        with w.paused():
+            db.send(f"{rid} ROWS 2\r\nok\r\n".encode())
+            w.process.send_signal(signal.SIGTERM)
+        self.assertEqual(w.engine.expect("FEED", rid), b"ok")
+        w.engine.say("DONE 2", rid, "good 9", body=b"r")
+        self.assertEqual(g.final(), (n, b"r"))
+        g.sock.close()
+        self.assertEqual(w.ends(), 0)
+
+    def test_the_link_to_the_engine_lost_in_the_same_moment(self) -> None:
+        w = World(self)
+        g = Gateway(w)
+        n = g.rpc("once")
+        w.engine.expect("RUN", g.id)
+        with w.paused():
+            w.engine.sock.close()
+            w.process.send_signal(signal.SIGTERM)
+        link = Engine(w)
+        link.say("DONE 1", g.id, "good 9", body=b"r")
+        self.assertEqual(g.final(), (n, b"r"))
+        g.sock.close()
+        self.assertEqual(w.ends(), 0)
+
+    def test_who_keeps_its_side_open_does_not_make_it_be_killed(self) -> None:
+        w = World(self, stop_ms=400)
+        idle, busy = Gateway(w), Gateway(w)
+        n = busy.rpc(wait="9000")
+        w.engine.expect("RUN", busy.id)
+        w.process.send_signal(signal.SIGTERM)
+        self.assertEqual(busy.final(), (n, "Failed"))
+        self.assertEqual(w.ends(), 0)
+        # Both are still there: it did not wait for them until the kill.
+        self.assertEqual((w.lines[-1]["event"], w.lines[-1]["connections"]), ("stopped", 2))
+        self.assertEqual(idle.ends(), "closed")
+
+    def test_short_and_long_notices(self) -> None:
+        for stop_ms in (60, 200, 9e6):
+            with self.subTest(stop_ms=stop_ms):
+                w = World(self, stop_ms=stop_ms)
+                g = Gateway(w)
+                n = g.rpc(wait="700")
+                w.engine.expect("RUN", g.id)
+                w.process.send_signal(signal.SIGTERM)
+                self.assertEqual(g.final(), (n, "Failed"))
+                if stop_ms < 1e6:
+                    self.assertEqual(w.ends(), 0)
+                else:
+                    self.assertFalse(g.probe()[0])  # it leaves, but has all the time that it was given
+
+    def test_a_short_notice_is_looked_at_at_once(self) -> None:
+        b = Bench()
+        job = b.read()
+        b.server.settle()
+        b.did.clear()
+        b.server.quiesce(60.0)
+        self.assertEqual([d for d in b.did if d[0] == "wake"], [("wake", 1.0)])
+        b.tick(1.0)
+        self.assertEqual(b.fates(job), ["abort"])
+
+    def test_its_time_counts_from_the_signal_on(self) -> None:
+        # A pass of the loop may take long; what comes after the grace must not run for that.
+        loop, heard = Loop(lambda: None), []
+        kept = {n: signal.getsignal(n) for n in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
+        signals = Signals(loop)
+        for number, handler in kept.items():
+            self.addCleanup(signal.signal, number, handler)
+        self.addCleanup(signal.set_wakeup_fd, -1)
+        self.addCleanup(signals.seen.close)
+        self.addCleanup(signals.wakes.close)
+        signals.heard = lambda number, at: heard.append((number, at))
+        os.kill(os.getpid(), signal.SIGTERM)
+        until(lambda: signal.SIGTERM in signals.came)
+        after = loop.clock()
+        until(lambda: loop.clock() > after + 20.0)  # the rest of a long pass
+        loop.turn()
+        self.assertEqual([number for number, _ in heard], [signal.SIGTERM])
+        self.assertLessEqual(heard[0][1], after)
+
+        b = Bench(cores=1)
+        b.at(400.0)
+        b.server.quiesce(2000.0, 300.0)  # the grace is 1,000 ms
+        runs: dict[float, list[Any]] = {}
+        for arrived in (1099.0, 1101.0):
+            b.at(1200.0)
+            job = b.read(method=METHOD, waited=1200.0 - arrived, remaining=700.0)
+            b.server.settle()
+            runs[arrived] = b.fates(job)
+        self.assertEqual(runs, {1099.0: ["run"], 1101.0: ["push_back"]})
+        self.assertIs(METHOD.effect, Effect.IDEMPOTENT)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -465,6 +465,11 @@
         self.assertTrue(self.router.draining)
         self.assertEqual(self.answers(g, 1), {1: "Failed"})
         self.assertLess(self.loop.clock() - begun, 1200.0)
+        g.close()
+        end = self.loop.clock() + 10_000.0
+        while self.loop.running and self.loop.clock() < end:
+            self.pump()
+        self.assertFalse(self.loop.running)  # the drain ends where it went on
         self.assertEqual(self.faults, [])
 
     def test_the_listener_keeps_its_backlog(self) -> None:
