--- a/landingshift/net/program/config.py
+++ b/landingshift/net/program/config.py
@@ -32,7 +32,9 @@
         return f"{self.path}.{key}" if self.path else key
 
     def take(self, key: str, kinds: Any, expected: str, default: Any) -> Any:
-        value = self.data.get(key, default)
+        value = self.data.get(key)
+        if value is None:  # null says as much as a key that is not there, here as in the settings
+            value = default
         if value is MISSING:
             raise BadConfig(f"{self.name(key)}: missing")
         if not isinstance(value, kinds) or isinstance(value, bool):
@@ -44,7 +46,14 @@
 
     def text(self, key: str, default: Any = MISSING) -> str:
         value: str = self.take(key, str, "a text", default)
-        if not value or not value.isprintable() or " " in value:
+        if not value:
+            raise BadConfig(f"{self.name(key)}: a text is expected, not {value!r}")
+        return value
+
+    def word(self, key: str, default: Any = MISSING) -> str:
+        """One that stands in lines of words."""
+        value = self.text(key, default)
+        if not value.isprintable() or " " in value:
             raise BadConfig(f"{self.name(key)}: a word is expected, not {value!r}")
         return value
 
@@ -55,7 +64,7 @@
         return float(value)
 
     def address(self, key: str, default: Any = MISSING) -> Address:
-        value = self.text(key, default)
+        value = self.word(key, default)
         host, _, port = value.rpartition(":")
         try:
             # Names are not looked up: that would hold up the one loop, and there may be nobody to ask.
@@ -66,13 +75,18 @@
         except ValueError as err:
             raise BadConfig(f"{self.name(key)}: an IPv4 address:port is expected, not {value!r}") from err
 
-    def names(self, key: str) -> list[str]:
-        entries = self.take(key, list, "a list", [])
-        return [Reader(e, f"{self.name(key)}[{i}]").text("name") for i, e in enumerate(entries)]
+    def entries(self, key: str) -> list[Reader]:
+        return [Reader(e, f"{self.name(key)}[{i}]") for i, e in enumerate(self.take(key, list, "a list", []))]
+
+    def unique(self, key: str, names: list[str]) -> list[str]:
+        for i, name in enumerate(names):
+            if name in names[:i]:  # the first of them would be served as if it were the last
+                raise BadConfig(f"{self.name(key)}[{i}].name: {name!r} stands there twice")
+        return names
 
 
 def seed(top: Reader) -> int:
-    value = top.text("seed")
+    value = top.word("seed")
     try:
         return int(value, 16)
     except ValueError as err:
@@ -89,8 +103,11 @@
         raise BadConfig(str(err)) from err
     extra = settings.inner("extra")
     gauges = extra.take("gauges", list, "a list", [])
+    methods = settings.unique("classes", [one.word("name") for one in settings.entries("classes")])
+    # A tenant's name goes into no line: it may have spaces, as operators write them.
+    tenants = settings.unique("orgs", [one.text("name") for one in settings.entries("orgs")])
     return Site(
-        name=top.text("name", env.get("GW_NAME", MISSING)),
+        name=top.word("name", env.get("GW_NAME", MISSING)),
         listen=top.address("listen", env.get("GW_LISTEN", MISSING)),
         engine=top.address("engine"),
         database=top.address("db") if decoded.below is not Below.NONE else None,
@@ -98,10 +115,10 @@
         seed=seed(top),
         stop_ms=top.number("stop_ms", 1.0, 1e7, 3000),
         memory_mb=limits.number("memory_mb", 16.0, 1e6, 192),
-        sockets=int(limits.number("sockets", 64.0, 1e6, 1024)),
+        sockets=int(limits.number("sockets", 32.0, 1e6, 1024)),
         settings=decoded,
-        methods=dict(zip(settings.names("classes"), decoded.methods, strict=True)),
-        tenants=dict(zip(settings.names("orgs"), decoded.tenants, strict=True)),
+        methods=dict(zip(methods, decoded.methods, strict=True)),
+        tenants=dict(zip(tenants, decoded.tenants, strict=True)),
         gauges=[str(g) for g in gauges],
         deep_checks=bool(extra.data.get("deep-checks")),
     )
--- a/landingshift/net/routing/engine.py
+++ b/landingshift/net/routing/engine.py
@@ -84,6 +84,8 @@
         if self.stream is None:
             self.loop.cancel(self.next)
             self.attach()
+        elif self.moving:
+            pass  # the link is being left already, for whatever address is told last
         elif not self.ready:
             self.stream.close("moved")
         else:
