--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 import time
 import traceback
@@ -28,6 +29,8 @@
 GAUGES_WAIT = 25.0  # ms that a look waits for the gauges: deadlines do not wait for a silent engine
 GAUGES_LAST = 500.0  # ms that gauges are taken for the state of the cores
 LEAVE = 600.0  # ms before the stop at which connections are asked to go
+END = 20.0  # ms before the stop at which it ends with connections still open
+LOOK = 20.0  # ms between two looks whether all have gone
 MOVES = ("engine", "database", "roster", "stop_ms")  # taken from a new configuration
 FIXED = ("name", "listen", "memory_mb", "sockets", "gauges", "deep_checks")  # taken at the start only
 OLDEST = 120_000.0  # ms since an RPC came to the machine, at most
@@ -74,11 +77,12 @@
         self.patience: Timer | None = None  # set while a look waits for the gauges
         self.gauges, self.gauged = Gauges(None, None, None), 0.0
         self.told: dict[str, str] = {}  # fields that each answer carries
-        self.kept = Kept(int(site.memory_mb * KEPT_SHARE * 1048576.0), site.settings.share_for)
+        oldest = LONGEST * max(method.deadline for method in site.settings.methods)
+        self.kept = Kept(int(site.memory_mb * KEPT_SHARE * 1048576.0), site.settings.share_for, oldest)
         self.gateways = Gateways(
             loop,
             site.listen,
-            most=max(8, site.sockets - SPARE),
+            most=max(8, min(site.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - SPARE),
             unsent=int(site.memory_mb * UNSENT_SHARE * 1048576.0),
             idle=site.settings.link_idle,
             news=self,
@@ -88,7 +92,7 @@
         self.database = Database(loop, site.database, self.called, report)
         self.engine = Engine(loop, site.engine, self, report, attach=listener is None)
         self.health_state = Health(loop, site.name, Datagrams(site.roster), self.engine, site.deep_checks)
-        self.draining = False
+        self.draining, self.stop_at = False, 0.0
         self.taps = Taps(report)
         self.mark = ""  # the field that names a client's try, where there is one
         self.gate: Gate | None = None  # where ok answers pass before they go out
@@ -134,10 +138,19 @@
             now = time.time() * 1000.0
             if not now - OLDEST < f.at < now + AHEAD:
                 raise wire.BadField("at")
-            if f.wait > LONGEST * method.deadline:
+            if f.wait is None and st.settings.deadline_told:
+                raise wire.BadField("wait")
+            # Where callers do not tell how long they wait, their method's deadline says it.
+            wait = method.deadline if f.wait is None else f.wait
+            if wait > LONGEST * method.deadline:
                 raise wire.BadField("wait")
             if f.rid in self.by_id:
-                raise wire.BadField("id")  # the engine could not tell the two apart
+                known = self.find(f.rid)  # the engine could not tell the two apart
+                started = known is not None and known.job is not None and known.job.ran
+                if started and method.effect is not Effect.IDEMPOTENT:
+                    connection.answer(call.number, wire.aborted(call.number, self.told))
+                    return  # not as never run: whoever hears that sends it elsewhere, where it runs too
+                raise wire.BadField("id")
             if len(connection.rpcs) >= OPEN:
                 raise wire.BadField("open")
         except wire.BadField as err:
@@ -153,8 +166,8 @@
         rpc = Routed(
             method=method,
             tenant=tenant,
-            remaining=min(f.wait, f.at + f.wait - now) if st.settings.deadline_told else None,
-            waited=min(f.wait, max(0.0, now - f.at)),  # longer than it waits tells no more
+            remaining=min(wait, f.at + wait - now) if st.settings.deadline_told else None,
+            waited=min(wait, max(0.0, now - f.at)),  # longer than it waits tells no more
             kb=f.kb,
             caller=f.caller,
             hint=f.hint,
@@ -205,12 +218,12 @@
     # What the engine tells
 
     def engine_up(self, hello: engine_wire.Hello) -> None:
+        if self.draining:
+            return  # it leaves without having run anything: no list may name it now
         settings = replace(self.site.settings, cold=hello.cold)
         # The module's clock starts with the cores, which warm up from then on.
         self.server = Server(settings, self.site.seed, self, self.loop.now - hello.age)
         self.health_state.start()
-        if self.draining:
-            self.stir().quiesce(self.site.stop_ms)
 
     def done(self, done: engine_wire.Done) -> None:
         rpc = self.find(done.rid)
@@ -247,7 +260,10 @@
     def refused(self, no: engine_wire.No) -> None:
         rpc = self.find(no.rid)
         self.report("engine_no", command=no.command.decode("latin-1"), known=rpc is not None)
-        if rpc is not None and no.command == b"RUN":
+        if rpc is None:
+            return
+        asked = rpc.command is not None and rpc.command.known is not None  # whether it knows the RPC
+        if no.command == b"RUN" or asked:
             connection = self.gateways.table.get(rpc.connection)
             self.done(engine_wire.Done(0, no.rid, Outcome.NOT_SENT, 0.0, b""))
             if connection is not None and not connection.proven:
@@ -304,30 +320,43 @@
         self.database.move(site.database)
         self.health_state.move(site.roster)
 
-    def drain(self) -> None:
-        """The notice to leave: answers all that was read, then lets the connections go, then ends."""
+    def drain(self, notice: float | None = None) -> None:
+        """The notice to leave: answers all that was read, then lets the connections go, then ends.
+
+        `notice`: when it came. What it allows counts from then, however late the loop gets to it.
+        """
         if self.draining:
             return
         self.draining = True
-        left = self.site.stop_ms
+        ago = max(0.0, self.loop.now - notice) if notice is not None else 0.0
+        left = max(1.0, self.site.stop_ms - ago)
+        self.stop_at = self.loop.now + left
         if self.server is None:
-            self.loop.stop()
+            # Nothing runs here, but what waits unread counts as received: it is told that it never ran.
+            self.depart()
             return
-        self.stir().quiesce(left)
-        away = max(left - LEAVE, left / 2.0)
+        self.stir().quiesce(left, ago)
+        away = self.depart_later()
         if self.gate is not None:
             self.gate.leave(self.loop.now + away)
+
+    def depart_later(self) -> float:
+        """Returns in how many ms."""
+        left = self.stop_at - self.loop.now
+        away = max(left - LEAVE, left / 2.0)
         self.loop.after(away, self.depart)
+        return away
 
     def depart(self) -> None:
         self.gateways.leave()
         self.wait_for_last()
 
     def wait_for_last(self) -> None:
-        if len(self.gateways.table) == 0:
+        # Whoever keeps its side open to the end is owed nothing any more by then; a kill would say no more.
+        if self.gateways.gone() or self.loop.now >= self.stop_at - END:
             self.loop.stop()
         else:
-            self.loop.after(20.0, self.wait_for_last)
+            self.loop.after(LOOK, self.wait_for_last)
 
     # What the module asks for
 
@@ -422,17 +451,31 @@
         if rpc.closed or rpc.job is None:
             return
         good = entry.outcome is Outcome.OK and entry.result is not None
+        connection = self.gateways.table.get(rpc.connection)
+        if good and connection is not None and not connection.proven:
+            # A stranger that repeats a gateway's key must not be given what was made for that one.
+            self.engine.know(rpc, lambda: self.known(rpc, entry))
+            return
         if good:
             self.ok(rpc, entry.result or b"", entry.work)
         else:
             self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         self.stir().ended(rpc.job, Outcome.OK if good else Outcome.ABORTED, 0.0)
 
+    def known(self, rpc: Routed, entry: Entry) -> None:
+        self.prove(rpc)
+        self.todo.append(lambda: self.joined(rpc, entry))
+
     def closed(self, rpc: Rpc) -> None:
         assert isinstance(rpc, Routed)
         if not rpc.answered and not rpc.gone and not rpc.passing:  # nothing read may end without an answer
             self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         rpc.closed = True
+        entry = self.kept.owned(rpc)
+        if entry is not None and entry.outcome is None and (rpc.job is None or not rpc.job.ran):
+            # It outlived its entry unrun: no repeat may wait for what never comes.
+            self.end_kept(entry, Outcome.ABORTED, b"")
+            self.kept.remove(entry)
         if rpc.original is not None:
             rpc.original.waiting.pop(rpc, None)
             rpc.original = None
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -4,7 +4,10 @@
 
 import errno
 import socket
+import struct
+from array import array
 from collections.abc import Callable
+from contextlib import suppress
 from selectors import EVENT_READ, EVENT_WRITE
 from typing import Protocol
 
@@ -14,9 +17,15 @@
 READS = 8  # chunks taken from one stream before the others have their turn
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 64  # accepted in a row
-LINGER = 1000.0  # ms that the other side has to close after we have
+LINGER = 1000.0  # ms that the other side has to close after we have, or to take some of what it is owed
+LINGERS = 10  # times that it may take some and no more
+DISCARD = 65536  # bytes that are taken off a connection after our half-close, before a close over the rest
 IP_BIND_ADDRESS_NO_PORT = 24  # Linux: the port is chosen once the other side is known, so that they last
 PAUSE = 20.0  # ms without accepting after the descriptors ran out
+SO_ATTACH_FILTER = 26  # Linux
+# Classic BPF over the TCP header: whatever has SYN set is dropped, all else passes.
+STEPS = [(0x30, 0, 0, 13), (0x45, 0, 1, 0x02), (0x06, 0, 0, 0), (0x06, 0, 0, 0xFFFFFFFF)]
+NO_SYN = b"".join(struct.pack("HBBI", *step) for step in STEPS)
 Address = tuple[str, int]
 
 
@@ -67,6 +76,8 @@
         self.mask = -1  # what the loop watches it for
         self.out = bytearray()
         self.queued = self.sent = 0  # bytes since the start; what is not sent has proved nothing
+        self.discarded = self.lingers = 0  # after our half-close: bytes, and spells of waiting
+        self.lingered = 0  # sent before this spell
         self.last = loop.now  # when bytes last went either way
         self.timer: Timer | None = None
         self.watch()
@@ -112,6 +123,10 @@
             self.last = self.loop.now
             if not self.reason:
                 self.owner.data(data)
+            else:  # after our half-close: it can't be answered any more, so it must not be acted on either
+                self.discarded += len(data)
+                if self.discarded > DISCARD:
+                    self.close(self.reason)
             if not self.open or len(data) < CHUNK:
                 return
 
@@ -151,12 +166,22 @@
             self.watch()
 
     def finish(self, reason: str) -> None:
-        """Closes once all is written; the other side is let read it."""
+        """A half-close once all is written, and a close once the other side has read it and closed too."""
         if self.open and not self.reason:
             self.reason = reason
-            self.timer = self.loop.after(LINGER, lambda: self.close(reason))
+            self.linger()
             self.flush()
 
+    def linger(self) -> None:
+        """Ends the wait for the other side, unless it reads slowly and is owed answers."""
+        taking = self.out and self.sent != self.lingered and self.lingers < LINGERS
+        if self.timer is None or taking:
+            self.lingers, self.lingered = self.lingers + 1, self.sent
+            self.timer = self.loop.after(LINGER, self.linger)
+        else:
+            self.read()  # a close over unread bytes would reset the connection under answers it has not read
+            self.close(self.reason)
+
     def shut(self) -> None:
         if not self.reading:
             self.close(self.reason)
@@ -219,7 +244,7 @@
         sock: socket.socket | None = None,
     ) -> None:
         """`sock`: one that listens already, with its backlog."""
-        self.loop, self.room, self.take, self.open = loop, room, take, True
+        self.loop, self.room, self.take, self.open, self.draining = loop, room, take, True, False
         if sock is None:
             sock = socket.socket()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -248,16 +273,47 @@
                     continue
                 self.rest()
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.take(sock)
+            self.begin(sock)
+
+    def bar(self) -> None:
+        """No new handshakes: a connection made between the last accept and the close would be reset unread.
+
+        Dropped SYNs are sent again within a second, and refused then; handshakes under way are completed.
+        """
+        program = array("B", NO_SYN)
+        with suppress(OSError):  # elsewhere than on Linux that moment stays, as short as can be
+            filters = struct.pack("HP", len(NO_SYN) // 8, program.buffer_info()[0])
+            self.sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filters)
+
+    def drain(self) -> bool:
+        """Takes all that waits to be accepted; False where more may wait and there are no descriptors."""
+        self.draining = True
+        self.loop.watch(self.sock.fileno(), 0, self)
+        for _ in range(2 * BACKLOG):
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return True
+            except (ConnectionAbortedError, InterruptedError):
+                continue
+            except OSError:  # out of descriptors
+                if not self.room(False):
+                    return False
+                continue
+            self.begin(sock)
+        return False
+
+    def begin(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.take(sock)
 
     def rest(self) -> None:
         self.loop.watch(self.sock.fileno(), 0, self)
         self.loop.after(PAUSE, self.resume)
 
     def resume(self) -> None:
-        if self.open:
+        if self.open and not self.draining:
             self.loop.watch(self.sock.fileno(), EVENT_READ, self)
 
     def close(self) -> None:
