Rename: the table that repeats are answered from is the deduplication table

Need: kept.py and Kept were private words for a standard concept. Module, class and the router's field are renamed; settings and log fields had no such word. The field subject of an RPC stays, since the state that a hand-over carries names it. No behaviour changed: tests of net, repeats, handover, start, server and ledger service pass.

--- a/landingshift/handover/state.py
+++ b/landingshift/handover/state.py
@@ -23,7 +23,7 @@
 from landingshift.net.routing.engine import RETRY, Command
 from landingshift.net.routing.gateways import BOUND as GATEWAY_BOUND
 from landingshift.net.routing.gateways import RESET, Connection
-from landingshift.net.routing.kept import ENTRY, Entry
+from landingshift.net.routing.dedup import ENTRY, Entry
 from landingshift.net.routing.records import Routed
 from landingshift.net.routing.router import Router, Site
 from landingshift.net.transport.loop import Loop
@@ -140,7 +140,7 @@
         module, jobs = r.server.give() if r.server is not None else (None, [])
         rpcs: list[Routed] = [job.rpc for job in jobs if isinstance(job.rpc, Routed)]
         assert len(rpcs) == len(jobs)
-        entries = list(r.kept.entries.values())
+        entries = list(r.dedup.entries.values())
         known = {rpc: i for i, rpc in enumerate(rpcs)}
         for entry in entries:
             if entry.owner not in known:
@@ -313,7 +313,7 @@
         return connection
 
     def entries(self) -> None:
-        kept, made = self.router.kept, []
+        table, made = self.router.dedup, []
         for one in self.state.entries:
             outcome = Outcome(one.outcome) if one.outcome is not None else None
             entry = Entry(
@@ -321,8 +321,8 @@
             )
             subject = entry.owner.subject
             assert subject is not None
-            kept.entries[subject] = entry
-            kept.bytes += ENTRY + len(one.result or b"")
+            table.entries[subject] = entry
+            table.bytes += ENTRY + len(one.result or b"")
             made.append(entry)
         for rpc, of in zip(self.rpcs, self.state.rpcs, strict=True):
             if of.entry >= 0:
--- a/landingshift/net/routing/kept.py
+++ b/landingshift/net/routing/dedup.py
@@ -1,4 +1,4 @@
-"""Kept results: what a repeat of an RPC is answered from."""
+"""The deduplication table: what a repeat of an RPC is answered from."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
     waiting: dict[Routed, None] = field(default_factory=dict)
 
 
-class Kept:
+class DedupTable:
     def __init__(self, bound: int, share_for: float, oldest: float = 0.0) -> None:
         """`oldest`: ms since a repeat came to the machine, at most."""
         self.bound, self.share_for, self.oldest, self.bytes = bound, share_for, oldest, 0
--- a/landingshift/net/routing/records.py
+++ b/landingshift/net/routing/records.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from landingshift.net.routing.database import Call
     from landingshift.net.routing.engine import Command
-    from landingshift.net.routing.kept import Entry
+    from landingshift.net.routing.dedup import Entry
 
 
 @dataclass(slots=True, eq=False)
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -18,7 +18,7 @@
 from landingshift.net.routing.engine import Engine
 from landingshift.net.routing.gateways import OPEN, Connection, Gateways
 from landingshift.net.routing.health import Health
-from landingshift.net.routing.kept import Entry, Kept
+from landingshift.net.routing.dedup import Entry, DedupTable
 from landingshift.net.routing.records import Routed
 from landingshift.net.routing.taps import Gate, Taps
 from landingshift.net.transport.datagram import Datagrams
@@ -78,7 +78,7 @@
         self.gauges, self.gauged = Gauges(None, None, None), 0.0
         self.told: dict[str, str] = {}  # fields that each answer carries
         oldest = LONGEST * max(method.deadline for method in site.settings.methods)
-        self.kept = Kept(int(site.memory_mb * KEPT_SHARE * 1048576.0), site.settings.share_for, oldest)
+        self.dedup = DedupTable(int(site.memory_mb * KEPT_SHARE * 1048576.0), site.settings.share_for, oldest)
         self.gateways = Gateways(
             loop,
             site.listen,
@@ -184,7 +184,7 @@
             tenant_name=f.tenant,
             mark=f.mark,
         )
-        rpc.original = self.kept.find(rpc, self.loop.now)
+        rpc.original = self.dedup.find(rpc, self.loop.now)
         rpc.repeat = rpc.original is not None
         rpc.slot = self.rpcs.put(rpc)
         self.by_id[rpc.rid] = rpc.slot
@@ -233,7 +233,7 @@
         if done.number:
             self.prove(rpc)
         self.database.give_up(rpc)
-        entry = self.kept.owned(rpc)
+        entry = self.dedup.owned(rpc)
         if done.outcome is Outcome.OK:
             self.ok(rpc, done.result, done.elapsed)
         else:
@@ -241,7 +241,7 @@
         self.stir().ended(rpc.job, done.outcome, done.elapsed)
         if entry is not None:
             entry.work = done.elapsed
-            self.end_kept(entry, done.outcome, done.result)
+            self.end_entry(entry, done.outcome, done.result)
 
     def need(self, need: engine_wire.Need) -> None:
         rpc = self.find(need.rid)
@@ -425,14 +425,14 @@
 
     def keep(self, rpc: Rpc, time: float) -> None:
         assert isinstance(rpc, Routed)
-        self.kept.keep(rpc, self.loop.now + time)
+        self.dedup.keep(rpc, self.loop.now + time)
 
     def forget(self, rpc: Rpc) -> None:
         assert isinstance(rpc, Routed)
-        entry = self.kept.owned(rpc)
+        entry = self.dedup.owned(rpc)
         if entry is not None:
-            self.end_kept(entry, Outcome.ABORTED, b"")
-            self.kept.remove(entry)
+            self.end_entry(entry, Outcome.ABORTED, b"")
+            self.dedup.remove(entry)
 
     def join(self, rpc: Rpc) -> None:
         assert isinstance(rpc, Routed)
@@ -443,8 +443,8 @@
         else:
             self.todo.append(lambda: self.joined(rpc, entry))
 
-    def end_kept(self, entry: Entry, outcome: Outcome, result: bytes) -> None:
-        for waiting in self.kept.end(entry, outcome, result, self.loop.now):
+    def end_entry(self, entry: Entry, outcome: Outcome, result: bytes) -> None:
+        for waiting in self.dedup.end(entry, outcome, result, self.loop.now):
             self.todo.append(lambda waiting=waiting: self.joined(waiting, entry))  # type: ignore[misc]
 
     def joined(self, rpc: Routed, entry: Entry) -> None:
@@ -471,11 +471,11 @@
         if not rpc.answered and not rpc.gone and not rpc.passing:  # nothing read may end without an answer
             self.answer(rpc, wire.aborted(rpc.number, self.told), "aborted")
         rpc.closed = True
-        entry = self.kept.owned(rpc)
+        entry = self.dedup.owned(rpc)
         if entry is not None and entry.outcome is None and (rpc.job is None or not rpc.job.ran):
             # It outlived its entry unrun: no repeat may wait for what never comes.
-            self.end_kept(entry, Outcome.ABORTED, b"")
-            self.kept.remove(entry)
+            self.end_entry(entry, Outcome.ABORTED, b"")
+            self.dedup.remove(entry)
         if rpc.original is not None:
             rpc.original.waiting.pop(rpc, None)
             rpc.original = None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,7 @@
 from landingshift.net.routing.database import Database
 from landingshift.net.routing.engine import Engine
 from landingshift.net.routing.health import Health
-from landingshift.net.routing.kept import ENTRY, Kept
+from landingshift.net.routing.dedup import ENTRY, DedupTable
 from landingshift.net.routing.records import Routed
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
@@ -99,7 +99,7 @@
         # What goes when the memory is short: results of reads whole, of others all but that they happened.
         for effect, known in [(Effect.IDEMPOTENT, False), (Effect.TOKENED, True)]:
             with self.subTest(effect=effect):
-                kept = Kept(20 * (ENTRY + 1000), share_for=60000.0)
+                kept = DedupTable(20 * (ENTRY + 1000), share_for=60000.0)
                 for i in range(100):
                     rpc = routed(i, effect, str(i))
                     kept.keep(rpc, 60000.0)
@@ -118,7 +118,7 @@
             (Effect.TOKENED, Outcome.OK, 4000.0, True), (Effect.TOKENED, Outcome.OK, 5001.0, False),
         ]:  # fmt: skip
             with self.subTest(effect=effect, outcome=outcome, at=at):
-                kept = Kept(10000, share_for=500.0)
+                kept = DedupTable(10000, share_for=500.0)
                 owner = routed(1, effect)
                 kept.keep(owner, 5000.0)
                 self.assertIsNotNone(kept.find(routed(2, effect), 100.0))
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from landingshift.interface import Effect, Method, Outcome
-from landingshift.net.routing.kept import ENTRY, Kept
+from landingshift.net.routing.dedup import ENTRY, DedupTable
 from landingshift.net.routing.records import Routed
 from tests.helpers import METHOD, SETTINGS, Bench, Engine, Gateway, World, until
 from tests.test_server import prove
@@ -24,8 +24,8 @@
 class Window(unittest.TestCase):
     """Times in ms; the window of 500 opens when the first try reached the machine, at 0."""
 
-    def table(self) -> tuple[Kept, Routed]:
-        kept, first = Kept(1 << 20, 0.0, oldest=12000.0), routed("a")
+    def table(self) -> tuple[DedupTable, Routed]:
+        kept, first = DedupTable(1 << 20, 0.0, oldest=12000.0), routed("a")
         kept.keep(first, 501.0)
         return kept, first
 
@@ -47,7 +47,7 @@
         self.assertIsNone(kept.find(routed("a"), 9002.0))
 
     def test_short_memory_forgets_no_effect(self) -> None:
-        kept = Kept(3 * (ENTRY + 100), 0.0, oldest=1000.0)
+        kept = DedupTable(3 * (ENTRY + 100), 0.0, oldest=1000.0)
         names = ["runs", "late", "within", "over"]
         owners = {name: routed(name) for name in names}
         for name, until_ms in [("runs", 10.0), ("late", 1500.0), ("within", 5000.0), ("over", 900.0)]:
