No end over open connections: it resets them; the last answer is followed by the close

Ruled out: the listener (closed 0.6 s before), a discarded RPC (none), a late notice. Mend: the process stays until all are gone or the kill comes, as before, and while leaving the close follows the last answer in the next pass.

--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -140,6 +140,9 @@
         self.stream.write(data)
         if not self.stream.reading and not self.rpcs:
             self.stream.finish("closed_by_gateway")
+        elif self.gateways.leaving and not self.rpcs:
+            # The last answers go out shortly before the stop: their connections' close can't wait for a look.
+            self.arm(0.0)
 
     def goaway(self, within: float = AWAY) -> None:
         if not self.stream.open:
@@ -158,6 +161,7 @@
         if self.stream.reason or not self.stream.open:
             return
         if self.left() <= 1.0:
+            self.stream.flush()
             self.read_on()  # may bring an RPC, or its end
             if self.stream.reason or not self.stream.open:
                 return
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -29,7 +29,6 @@
 GAUGES_WAIT = 25.0  # ms that a look waits for the gauges: deadlines do not wait for a silent engine
 GAUGES_LAST = 500.0  # ms that gauges are taken for the state of the cores
 LEAVE = 600.0  # ms before the stop at which connections are asked to go
-END = 20.0  # ms before the stop at which it ends with connections still open
 LOOK = 20.0  # ms between two looks whether all have gone
 MOVES = ("engine", "database", "roster", "stop_ms")  # taken from a new configuration
 FIXED = ("name", "listen", "memory_mb", "sockets", "gauges", "deep_checks")  # taken at the start only
@@ -352,8 +351,9 @@
         self.wait_for_last()
 
     def wait_for_last(self) -> None:
-        # Whoever keeps its side open to the end is owed nothing any more by then; a kill would say no more.
-        if self.gateways.gone() or self.loop.now >= self.stop_at - END:
+        # No end over open connections: it closes them, and what came in that moment makes that a reset, which
+        # takes answers along that the other side has not read. Who keeps its side open is left to the kill.
+        if self.gateways.gone():
             self.loop.stop()
         else:
             self.loop.after(LOOK, self.wait_for_last)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -206,16 +206,20 @@
 
 
 class PeerClose(unittest.TestCase):
-    def test_a_slow_reader_that_writes_no_more_gets_all_its_answers(self) -> None:
+    def owing(self) -> tuple[Stream, socket.socket]:
+        """A stream with much more to write than the other side has room for."""
         loop = Loop(lambda: self.fail("a handler raised"))
         ours, theirs = socket.socketpair()
         self.addCleanup(theirs.close)
         ours.setblocking(False)
         owner = News()
         owner.ended = lambda reason: None  # type: ignore[attr-defined]
-        stream = Stream(loop, ours, owner, 1 << 24)  # type: ignore[arg-type]
-        data = bytes(1 << 22)
-        stream.write(data)
+        stream = Stream(loop, ours, owner, 1 << 26)  # type: ignore[arg-type]
+        stream.write(bytes(1 << 25))
+        return stream, theirs
+
+    def test_a_slow_reader_that_writes_no_more_gets_all_its_answers(self) -> None:
+        stream, theirs = self.owing()
         stream.reading = False
         stream.finish("closed_by_gateway")
         for _ in range(3):  # spells in each of which it takes something
@@ -227,14 +231,7 @@
         self.assertFalse(stream.open)  # nothing taken in a whole spell
 
     def test_a_spell_without_end_is_none(self) -> None:
-        loop = Loop(lambda: self.fail("a handler raised"))
-        ours, theirs = socket.socketpair()
-        self.addCleanup(theirs.close)
-        ours.setblocking(False)
-        owner = News()
-        owner.ended = lambda reason: None  # type: ignore[attr-defined]
-        stream = Stream(loop, ours, owner, 1 << 26)  # type: ignore[arg-type]
-        stream.write(bytes(1 << 25))
+        stream, theirs = self.owing()
         stream.finish("goaway")
         spells = 0
         while stream.open and spells < 3 * LINGERS:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -195,17 +195,37 @@
         g.sock.close()
         self.assertEqual(w.ends(), 0)
 
-    def test_who_keeps_its_side_open_does_not_make_it_be_killed(self) -> None:
+    def test_it_does_not_end_over_open_connections(self) -> None:
+        # What lies unread in one of them would make its close a reset, which takes the answer along.
         w = World(self, stop_ms=400)
-        idle, busy = Gateway(w), Gateway(w)
-        n = busy.rpc(wait="9000")
-        w.engine.expect("RUN", busy.id)
+        g = Gateway(w)
+        n = g.rpc(wait="9000")
+        w.engine.expect("RUN", g.id)
         w.process.send_signal(signal.SIGTERM)
-        self.assertEqual(busy.final(), (n, "Failed"))
+        self.assertEqual(g.final(), (n, "Failed"))
+        self.assertEqual(g.ends(), "closed")  # its half
+        self.assertIsNone(w.process.poll())
+        g.send(b"\x94\x00")  # half a line
+        self.assertIsNone(w.process.poll())
+        g.sock.close()
         self.assertEqual(w.ends(), 0)
-        # Both are still there: it did not wait for them until the kill.
-        self.assertEqual((w.lines[-1]["event"], w.lines[-1]["connections"]), ("stopped", 2))
-        self.assertEqual(idle.ends(), "closed")
+        self.assertEqual((w.lines[-1]["event"], w.lines[-1]["connections"]), ("stopped", 0))
+
+    def test_the_last_answer_is_followed_by_the_close(self) -> None:
+        door = Door(self)
+        peer, connection = door.come(proven=True)
+        peer.sendall(msgpack.packb([0, 1, "m", [{}, b"work"]]))
+        door.turn_until(lambda: door.news.reads)
+        door.gateways.leave()
+        door.turn_until(lambda: not connection.stream.out)
+        connection.away = door.loop.now  # the time that it had is over
+        connection.answer(1, msgpack.packb([1, 1, None, [b"r", {}]]))
+        passes = 0
+        while not connection.stream.reason and passes < 3:
+            door.loop.after(0.0, lambda: None)
+            door.loop.turn()
+            passes += 1
+        self.assertEqual(connection.stream.reason, "goaway")
 
     def test_short_and_long_notices(self) -> None:
         for stop_ms in (60, 200, 9e6):
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -129,32 +129,21 @@
                 self.assertEqual(h.answer(), (m, b"r"))
 
     def test_after_the_first_try_was_pushed_back_it_runs(self) -> None:
-        w = World(self, settings__extra__n_cores=1)
-        g = Gateway(w)
-        g.rpc()
-        w.engine.expect("RUN", g.id)  # takes the only place
-        n, _ = self.tokened(w, g, "a", wait="150")
-        self.assertEqual(g.answer(), (n, "Busy"))
-        m, again = self.tokened(w, g, "a")
-        w.engine.say("DONE 1", f"{1:016x}", "good 5", body=b"r")
-        self.assertEqual(g.answer(), (1, b"r"))
-        w.engine.expect("RUN", again)
-        w.engine.say("DONE 2", again, "good 5", body=b"s")
-        self.assertEqual(g.answer(), (m, b"s"))
-
-    def test_a_first_try_that_outlives_its_window_unrun_holds_nobody(self) -> None:
-        w = World(self, settings__extra__n_cores=1, settings__classes__1__repeat_window=50.0)
-        g = Gateway(w)
-        g.rpc()
-        w.engine.expect("RUN", g.id)
-        n, _ = self.tokened(w, g, "a", wait="500")
-        self.assertEqual(g.answer(), (n, "Busy"))  # long after the window
-        m, again = self.tokened(w, g, "a")
-        w.engine.say("DONE 1", f"{1:016x}", "good 5", body=b"r")
-        self.assertEqual(g.answer(), (1, b"r"))
-        w.engine.expect("RUN", again)
-        w.engine.say("DONE 2", again, "good 5", body=b"s")
-        self.assertEqual(g.answer(), (m, b"s"))
+        # Within the window, and where the first try, held behind another RPC, outlived it unrun.
+        for window, wait in ((5000.0, "150"), (50.0, "500")):
+            with self.subTest(window=window):
+                w = World(self, settings__extra__n_cores=1, settings__classes__1__repeat_window=window)
+                g = Gateway(w)
+                g.rpc()
+                w.engine.expect("RUN", g.id)  # takes the only place
+                n, _ = self.tokened(w, g, "a", wait=wait)
+                self.assertEqual(g.answer(), (n, "Busy"))
+                m, again = self.tokened(w, g, "a")
+                w.engine.say("DONE 1", f"{1:016x}", "good 5", body=b"r")
+                self.assertEqual(g.answer(), (1, b"r"))
+                w.engine.expect("RUN", again)
+                w.engine.say("DONE 2", again, "good 5", body=b"s")
+                self.assertEqual(g.answer(), (m, b"s"))
 
     def test_after_the_first_try_was_aborted_its_result_counts(self) -> None:
         w = World(self)
