--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -20,7 +20,6 @@
 QUIET = 1000.0  # ms that a connection may last which has brought nothing that the engine knew
 WHOLE = 2000.0  # ms from a message's first byte to its last
 LOOK = 50.0  # ms between two looks at a connection, at the least
-BARRED = 5.0  # ms that handshakes under way have to end before the last connections are accepted
 RESET = 30.0  # ms in which a gateway that has gone answers a write with a reset
 
 
@@ -262,10 +261,10 @@
     def leave(self) -> None:
         """All are asked to go; no more come once those that wait to be accepted are here."""
         self.leaving = True
-        self.listener.bar()
+        # Closed before anyone hears it: they come again at once, and a refusal proves that nothing ran.
+        self.close()
         for connection in self.table:
             connection.goaway(LEAVING)
-        self.loop.after(BARRED, self.close)
 
     def close(self) -> None:
         # What waits there counts as received: a close over it would lose it, however full the table is.
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -4,10 +4,7 @@
 
 import errno
 import socket
-import struct
-from array import array
 from collections.abc import Callable
-from contextlib import suppress
 from selectors import EVENT_READ, EVENT_WRITE
 from typing import Protocol
 
@@ -22,10 +19,6 @@
 DISCARD = 65536  # bytes that are taken off a connection after our half-close, before a close over the rest
 IP_BIND_ADDRESS_NO_PORT = 24  # Linux: the port is chosen once the other side is known, so that they last
 PAUSE = 20.0  # ms without accepting after the descriptors ran out
-SO_ATTACH_FILTER = 26  # Linux
-# Classic BPF over the TCP header: whatever has SYN set is dropped, all else passes.
-STEPS = [(0x30, 0, 0, 13), (0x45, 0, 1, 0x02), (0x06, 0, 0, 0), (0x06, 0, 0, 0xFFFFFFFF)]
-NO_SYN = b"".join(struct.pack("HBBI", *step) for step in STEPS)
 Address = tuple[str, int]
 
 
@@ -275,16 +268,6 @@
                 return
             self.begin(sock)
 
-    def bar(self) -> None:
-        """No new handshakes: a connection made between the last accept and the close would be reset unread.
-
-        Dropped SYNs are sent again within a second, and refused then; handshakes under way are completed.
-        """
-        program = array("B", NO_SYN)
-        with suppress(OSError):  # elsewhere than on Linux that moment stays, as short as can be
-            filters = struct.pack("HP", len(NO_SYN) // 8, program.buffer_info()[0])
-            self.sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filters)
-
     def drain(self) -> bool:
         """Takes all that waits to be accepted; False where more may wait and there are no descriptors."""
         self.draining = True
