--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -564,7 +564,7 @@
         self.rate = min(self.rate, self.share)
         saved = max(1.0, 0.2 * self.rate)
         if self.rate >= self.share:
-            # A share is what the store bears of this server in a second: calls saved up beside it are over it.
+            # A share is what the store bears of this server in a second: what is saved up is over it.
             saved = min(saved, 1.0 + self.rate * TICK / 1000.0)
         self.tokens = min(self.tokens + self.rate * dt, saved) if dt else self.tokens
         self.mode("paced calls", self.rate < self.share, f"mean {mean:.0f} base {base:.0f} ms")
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -254,7 +254,7 @@
         self.assertEqual(b.server.rate, 0.5)
 
     def test_what_is_saved_up_does_not_pass_a_share_of_the_store(self) -> None:
-        # One of a fleet that had most of the store's calls lent made a fifth more of them than the store bears.
+        # One server that had most of the store's calls lent made a fifth more of them than it bears.
         for share in (12.0, 22.0, 60.0):
             with self.subTest(share=share):
                 b = Bench(CALLS, below=Below.SHARED, calls_out=500.0, calls_over=5000.0, cores=400)
