Rename: what a repeat shares with its first try is the deduplication key, not its subject

Cause: the name was ours; what the table of repeats is looked up by is a deduplication key everywhere else. Change: Routed.dedup_key in net/, in the state of a hand-over (which no running server writes yet) and in the ledger. Nothing else moves. Measured: test_net, test_repeats, test_handover and test_ledger pass (77 tests).

--- a/landingshift/handover/state.py
+++ b/landingshift/handover/state.py
@@ -29,7 +29,9 @@
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.stream import LINGER, Stream
 
-OWN = ("rid", "name", "body", "number", "subject", "answered", "gone", "closed", "need", "need_body", "mark")
+OWN = (
+    "rid", "name", "body", "number", "dedup_key", "answered", "gone", "closed", "need", "need_body", "mark",
+)  # fmt: skip
 FACTS = ("remaining", "waited", "kb", "caller", "hint", "keyed", "repeat", "retry", "write", "tenant_name")
 COUNTS = ("read", "probes", "bad", "fault", "away", "proven", "born", "heard", "half")
 LINK = ("last", "links", "tags", "ready", "met", "greeted", "moving", "linked", "lost", "heard")
@@ -293,7 +295,7 @@
         method = self.site.settings.methods[one.method]
         tenant = self.site.tenants[one.tenant] if one.tenant is not None else None
         own = dict(one.own)
-        own["subject"] = tuple(own["subject"]) if own["subject"] is not None else None
+        own["dedup_key"] = tuple(own["dedup_key"]) if own["dedup_key"] is not None else None
         rpc = Routed(method=method, tenant=tenant, connection=-1, **one.facts, **own)
         if one.command is not None:
             rpc.command = Command(rpc, *one.command)
@@ -319,9 +321,9 @@
             entry = Entry(
                 self.rpcs[one.owner], one.until, outcome, one.ended, result=one.result, work=one.work
             )
-            subject = entry.owner.subject
-            assert subject is not None
-            table.entries[subject] = entry
+            dedup_key = entry.owner.dedup_key
+            assert dedup_key is not None
+            table.entries[dedup_key] = entry
             table.bytes += ENTRY + len(one.result or b"")
             made.append(entry)
         for rpc, of in zip(self.rpcs, self.state.rpcs, strict=True):
--- a/landingshift/ledger/service.py
+++ b/landingshift/ledger/service.py
@@ -172,8 +172,8 @@
         s = self.settings
         tenant = rpc.tenant_name.encode(errors="surrogatepass")
         mark = rpc.mark
-        if not mark and rpc.subject is not None and (s.identity_key or not rpc.keyed):
-            mark = rpc.subject[1]  # a token; a read's key says what it is about, not which try it is
+        if not mark and rpc.dedup_key is not None and (s.identity_key or not rpc.keyed):
+            mark = rpc.dedup_key[1]  # a token; a read's key says what it is about, not which try it is
         what = mark.encode(errors="surrogatepass") if mark else rpc.body
         known = identity(tenant, rpc.name, bool(mark), what)
         at = round(time.time() * 1000.0)
--- a/landingshift/net/routing/dedup.py
+++ b/landingshift/net/routing/dedup.py
@@ -28,7 +28,7 @@
         self.entries: dict[tuple[bytes, str], Entry] = {}
 
     def find(self, rpc: Routed, now: float) -> Entry | None:
-        entry = self.entries.get(rpc.subject) if rpc.subject else None
+        entry = self.entries.get(rpc.dedup_key) if rpc.dedup_key else None
         if entry is None:
             return None
         if entry.outcome is None:
@@ -43,25 +43,25 @@
         return entry
 
     def keep(self, rpc: Routed, until: float) -> None:
-        if rpc.subject is None:
+        if rpc.dedup_key is None:
             return
-        old = self.entries.get(rpc.subject)
+        old = self.entries.get(rpc.dedup_key)
         if old is not None:
             if old.owner is rpc:
                 old.until = until
                 return
             self.remove(old)
-        self.entries[rpc.subject] = Entry(rpc, until)
+        self.entries[rpc.dedup_key] = Entry(rpc, until)
         self.bytes += ENTRY
 
     def owned(self, rpc: Routed) -> Entry | None:
-        entry = self.entries.get(rpc.subject) if rpc.subject else None
+        entry = self.entries.get(rpc.dedup_key) if rpc.dedup_key else None
         return entry if entry is not None and entry.owner is rpc else None
 
     def remove(self, entry: Entry) -> None:
-        subject = entry.owner.subject
-        if subject is not None and self.entries.get(subject) is entry:
-            del self.entries[subject]
+        dedup_key = entry.owner.dedup_key
+        if dedup_key is not None and self.entries.get(dedup_key) is entry:
+            del self.entries[dedup_key]
             self.bytes -= ENTRY + len(entry.result or b"")
 
     def end(self, entry: Entry, outcome: Outcome, result: bytes, now: float) -> list[Routed]:
--- a/landingshift/net/routing/records.py
+++ b/landingshift/net/routing/records.py
@@ -21,7 +21,7 @@
     body: bytes
     connection: int  # slot of the connection it came on
     number: int  # its message there
-    subject: tuple[bytes, str] | None  # what a repeat of it shares with it
+    dedup_key: tuple[bytes, str] | None  # the same in a repeat of it
     tenant_name: str = ""
     mark: str | None = None  # of the client's try, where the installation names a field for it
     slot: int = -1
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -179,7 +179,7 @@
             body=f.body,
             connection=connection.slot,
             number=call.number,
-            subject=(call.method.encode(), same) if same else None,
+            dedup_key=(call.method.encode(), same) if same else None,
             tenant_name=f.tenant,
             mark=f.mark,
         )
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -24,10 +24,10 @@
 from tests.helpers import BLANK, METHOD
 
 
-def routed(rid: int, effect: Effect = Effect.IDEMPOTENT, subject: str = "s") -> Routed:
+def routed(rid: int, effect: Effect = Effect.IDEMPOTENT, dedup_key: str = "s") -> Routed:
     return Routed(
         **{**BLANK, "method": replace(METHOD, effect=effect)},
-        rid=b"%016x" % rid, name=b"m", body=b"", connection=0, number=rid, subject=(b"m", subject),
+        rid=b"%016x" % rid, name=b"m", body=b"", connection=0, number=rid, dedup_key=(b"m", dedup_key),
     )  # fmt: skip
 
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -17,7 +17,7 @@
     return Routed(
         method=method, tenant=None, remaining=None, waited=waited, kb=1.0, caller=0, hint=None, keyed=False,
         repeat=False, retry=False, write=False, rid=b"", name=b"m", body=b"", connection=0, number=0,
-        subject=(b"m", name),
+        dedup_key=(b"m", name),
     )  # fmt: skip
 
 
