Rename: named places at which a test ends the process are failpoints, no longer points

Cause: points says nothing to who comes new; failpoint is the word of the field for it. Change: the module failpoints.py in place of points.py, with its users; environment variables and names of failpoints stay.

--- a/landingshift/agreement/journal.py
+++ b/landingshift/agreement/journal.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.agreement.voter import Entry, Stored
 
 HEAD = b"landingshift-agreement 1 "
@@ -124,12 +124,12 @@
             left = memoryview(frame)
             while left:
                 left = left[os.write(self.fd, left) :]
-            points.reach("policies.written")
+            failpoints.reach("policies.written")
             os.fsync(self.fd)
         except OSError:
             os.ftruncate(self.fd, self.end)  # a part of a frame must not stand before the next one
             raise
-        points.reach("policies.synced")
+        failpoints.reach("policies.synced")
         self.end, self.chain, self.frames = (
             self.end + len(frame),
             zlib.crc32(body, self.chain),
@@ -178,7 +178,7 @@
             while left:
                 left = left[os.write(fd, left) :]
             os.fsync(fd)
-            points.reach("policies.rewritten")
+            failpoints.reach("policies.rewritten")
             with_seal = self.path + ".seal"
             if os.path.exists(with_seal):
                 os.unlink(with_seal)  # it speaks of the old file's frames
--- a/landingshift/coldstart/service.py
+++ b/landingshift/coldstart/service.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.coldstart import snapshot
 from landingshift.coldstart.agent import ROOM, Agent, Seen
 from landingshift.coldstart.lists import Question
@@ -65,7 +65,7 @@
         """The last list; True where it has somebody to try."""
         if not self.settings.snapshot:
             return False
-        found = snapshot.load(self.settings.snapshot, self.fleet.settings.fleet, points.wall())
+        found = snapshot.load(self.settings.snapshot, self.fleet.settings.fleet, failpoints.wall())
         self.log("coldstart_list", entries=len(found.entries), age_s=round(found.age / 1000.0), why=found.why)
         self.node.add_peers(found.entries)
         return bool(found.entries)
@@ -78,7 +78,7 @@
         settings, path = self.settings, f"{self.settings.snapshot}.boot"
         if not settings.snapshot or self.node.me.name not in settings.lenders:
             return None
-        boot, marked = Boot(*points.boot()), snapshot.marked(path)
+        boot, marked = Boot(*failpoints.boot()), snapshot.marked(path)
         ms = quiet(plan(settings).kept, boot, marked)
         try:
             snapshot.mark(path, boot.id)
@@ -130,14 +130,14 @@
         # Without its engine it can't work: a place would be taken for nothing.
         if self.router.server is not None and agent.step(now, self.seen()):
             start, members = agent.start, len(self.node.members.present) + 1
-            points.reach(f"coldstart.{start.stage.value}")
+            failpoints.reach(f"coldstart.{start.stage.value}")
             share = round(agent.share(now), 2)
             self.log(
                 "coldstart", stage=start.stage.value, alone=start.by_itself, share=share, members=members
             )
             if start.open:
                 self.router.health_state.release(self.name)
-        if points.history:
+        if failpoints.history:
             self.note()
         self.hand_share(now)
         if self.settings.list_service and self.seek.step(now, self.node.joined):
@@ -155,7 +155,7 @@
             held = (loans.share.held, loans.share.end, loans.place.held, loans.place.end)
             if self.noted.get(lender) != held:
                 self.noted[lender] = held
-                points.note("loan", name, lender, *held)
+                failpoints.note("loan", name, lender, *held)
 
     def hand_share(self, now: float) -> None:
         if self.settings.calls_s and self.router.server is not None:
@@ -181,7 +181,7 @@
         if not self.settings.snapshot or not entries or entries == self.saved:
             return
         try:
-            snapshot.save(self.settings.snapshot, self.fleet.settings.fleet, entries, points.wall())
+            snapshot.save(self.settings.snapshot, self.fleet.settings.fleet, entries, failpoints.wall())
             self.saved = entries
         except OSError as err:  # the old one stays; a start is only slower without
             self.log("coldstart_unsaved", error=str(err))
--- a/landingshift/coldstart/snapshot.py
+++ b/landingshift/coldstart/snapshot.py
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.fleet.messages import Address
 
 HEAD = b"landingshift-members 1 "
@@ -52,12 +52,12 @@
     try:
         data = HEAD + digest(body) + b"\n" + body
         os.write(fd, data[:100])
-        points.reach("coldstart.snapshot_half")
+        failpoints.reach("coldstart.snapshot_half")
         os.write(fd, data[100:])
         os.fsync(fd)
     finally:
         os.close(fd)
-    points.reach("coldstart.snapshot_synced")
+    failpoints.reach("coldstart.snapshot_synced")
     os.replace(beside, path)
     folder = os.open(os.path.dirname(path) or ".", os.O_RDONLY)
     try:
--- a/landingshift/points.py
+++ b/landingshift/failpoints.py
@@ -1,11 +1,11 @@
-"""Named points at which a test may end the process, to see what its successor finds.
+"""Failpoints: named places at which a test may end the process, to see what its successor finds.
 
 `LANDINGSHIFT_CRASH=name` or `name:3` (the third time) kills the process there; `LANDINGSHIFT_SLOW=name:200`
 waits so many ms each time. With `LANDINGSHIFT_CRASH_ONCE=path` only the first process that gets there dies,
 and leaves the file. Unset, `reach` looks at two empty values. `LANDINGSHIFT_CLOCK=-60000` sets the wall
-clock that rooms read through `wall` so many ms back. `LANDINGSHIFT_HISTORY=path` names a file to which `note`
-adds what was believed and decided, for a checker that knows promises only. `LANDINGSHIFT_BOOT=id:ms` stands
-for the boot of the machine and how long it is up.
+clock that packages read through `wall` so many ms back. `LANDINGSHIFT_HISTORY=path` names a file to which
+`note` adds what was believed and decided, for a checker that knows promises only. `LANDINGSHIFT_BOOT=id:ms`
+stands for the boot of the machine and how long it is up.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
 
 class Crash(BaseException):
-    """Raised in place of a kill by tests that walk through the points within one process."""
+    """Raised in place of a kill by tests that walk through the failpoints within one process."""
 
 
 inside = False  # set by such tests: raise, do not kill
--- a/landingshift/lab/ledger.py
+++ b/landingshift/lab/ledger.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.lab import MEMORY
 from landingshift.lab.receiver import FAULTS, Books, Failing, Server
 from landingshift.lab.rows import Row, must
@@ -84,7 +84,7 @@
                 try:
                     with self.store.changing() as book:
                         book.take(batch, self.now)
-                except points.Crash:
+                except failpoints.Crash:
                     self.crash()
                     continue
                 break
@@ -103,7 +103,7 @@
 
     def crash(self) -> None:
         self.crashes += 1
-        points.arm("")
+        failpoints.arm("")
         self.store.close()
         self.store = self.open()
         self.store.open_run(self.run, self.now)
@@ -151,9 +151,9 @@
                 self.outbox.settle(getattr(self.outbox, fate), n)
             if chance.random() < 0.2:
                 if chance.random() < 0.4:
-                    points.arm(chance.choice(COMMIT), chance.randrange(1, 3))
+                    failpoints.arm(chance.choice(COMMIT), chance.randrange(1, 3))
                 self.commit()
-                points.arm("")
+                failpoints.arm("")
             if chance.random() < 0.05:
                 self.commit()
                 self.close_ended()
@@ -182,13 +182,13 @@
         """Exports until all is there, starting the exporter again where it was killed."""
         while True:
             if crashes and self.chance.random() < 0.3:
-                points.arm(self.chance.choice(SENDING), self.chance.randrange(1, 4))
+                failpoints.arm(self.chance.choice(SENDING), self.chance.randrange(1, 4))
             try:
                 return export(self.store, receiver, self.chance, lambda *_, **__: None, once, lambda _: None)
-            except points.Crash:
+            except failpoints.Crash:
                 self.crashes += 1
             finally:
-                points.arm("")
+                failpoints.arm("")
 
 
 # The cases; each takes its chance, a folder of its own and its row
@@ -431,8 +431,8 @@
     name = world.store.first_open()
     assert name is not None
     for point in COMMIT:
-        points.arm(point)
-        with suppress(points.Crash), world.store.changing() as book:
+        failpoints.arm(point)
+        with suppress(failpoints.Crash), world.store.changing() as book:
             book.close(name, world.now, world.store.first_open(), world.store.raw_totals(name))
         world.crash()
     before = world.store.totals(name)
@@ -466,8 +466,8 @@
     last = [period for period, _, closed in world.store.periods() if closed][-1]
     before, listed = stored(world.store), world.store.disputed()
     for point in ("ledger.compact", "ledger.compacted", *COMMIT):
-        points.arm(point)
-        with suppress(points.Crash):
+        failpoints.arm(point)
+        with suppress(failpoints.Crash):
             compact(world.store, last, world.now, None)
         world.crash()
     gone = compact(world.store, last, world.now, None)
@@ -501,10 +501,10 @@
         order = [world for world in worlds for _ in range(2)]
         chance.shuffle(order)
         for world in order:
-            points.arm(chance.choice(("ledger.merge", "ledger.merged", "")), 1)
-            with suppress(points.Crash):
+            failpoints.arm(chance.choice(("ledger.merge", "ledger.merged", "")), 1)
+            with suppress(failpoints.Crash):
                 bring_file(merged, world.store.path)
-            points.arm("")
+            failpoints.arm("")
         for world in worlds:
             bring_file(merged, world.store.path)
         found.append(merged.totals())
@@ -720,7 +720,7 @@
                     except Exception as err:
                         row.broken.append(f"run {run}: {type(err).__name__}: {err}")
                     finally:
-                        points.arm("")
+                        failpoints.arm("")
                 row.runs += 1
             yield row
         if kills and not (only and only != "kills"):
--- a/landingshift/ledger/compact.py
+++ b/landingshift/ledger/compact.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.ledger.audit import Finding, Replay, audit, compacted, kept_digest
 from landingshift.ledger.book import Refused, digest
 from landingshift.ledger.entries import START, Compacted, Correction, Kind, Settled, Use, decode
@@ -78,13 +78,13 @@
             "AND number NOT IN (SELECT number FROM spared)",
             (what.last, Kind.USE, Kind.SETTLED),
         )
-        points.reach("ledger.compact")
+        failpoints.reach("ledger.compact")
         db.execute("DELETE FROM baseline")
         db.executemany(
             "INSERT INTO baseline VALUES(?, ?, ?, ?, ?, ?, ?, ?)",
             [(*p, *s) for p, s in replay.totals.items()],
         )
-        points.reach("ledger.compacted")
+        failpoints.reach("ledger.compacted")
         book.append(
             Compacted(
                 now,
--- a/landingshift/ledger/exporter.py
+++ b/landingshift/ledger/exporter.py
@@ -11,7 +11,7 @@
 
 from google.protobuf.message import DecodeError
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.ledger.cursor import Ask, Cursor, Idle, Send, Stop, Wait
 from landingshift.ledger.export_pb2 import Ack
 from landingshift.ledger.records import Exporting
@@ -74,7 +74,7 @@
         try:
             match step:
                 case Idle():
-                    points.reach("ledger.exported")
+                    failpoints.reach("ledger.exported")
                     if once:
                         return None
                     sleep(poll / 1000.0)
@@ -85,9 +85,9 @@
                 case Send(after=after):
                     batch = entries.batch(after)
                     assert batch is not None
-                    points.reach("ledger.export")
+                    failpoints.reach("ledger.export")
                     reply = receiver.ask("POST", "/v1/batch", batch.SerializeToString())
-                    points.reach("ledger.export_heard")
+                    failpoints.reach("ledger.export_heard")
         except NoReply as err:
             cursor.failed()
             if cursor.fails & (cursor.fails - 1) == 0:  # the first, second, fourth, ... in a row
--- a/landingshift/ledger/repair.py
+++ b/landingshift/ledger/repair.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.ledger.audit import Replay, audit, compacted
 from landingshift.ledger.book import Refused
 from landingshift.ledger.entries import Closed, Correction, Name, Opened, decode
@@ -44,7 +44,7 @@
                 db.execute("INSERT INTO corrections VALUES(?, ?)", (number, entry.period))
             case Opened():
                 low = number
-    points.reach("ledger.rebuild")
+    failpoints.reach("ledger.rebuild")
     totals = replay.totals
     db.executemany("INSERT INTO totals VALUES(?, ?, ?, ?, ?, ?, ?, ?)", [(*p, *s) for p, s in totals.items()])
     db.executemany("INSERT INTO sums VALUES(?, ?, ?, ?, ?)", [(p, *s) for p, s in by_period(totals).items()])
--- a/landingshift/ledger/service.py
+++ b/landingshift/ledger/service.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.ledger.entries import Raw, Word, identity
 from landingshift.ledger.outbox import Outbox
 from landingshift.ledger.settings import Settings
@@ -198,7 +198,7 @@
 
     def let_go(self, held: Held) -> None:
         result = self.take_out(held)
-        points.reach("ledger.answering")
+        failpoints.reach("ledger.answering")
         self.router.pass_on(held.rpc, result)
         self.unless_answered(held)
 
@@ -252,7 +252,7 @@
             batch = self.outbox.cut(AHEAD, self.finishing or self.loop.now >= self.settle_at)
             if batch is None:
                 break
-            points.reach("ledger.push")
+            failpoints.reach("ledger.push")
             worker.say(self.encode(batch))
         if self.loop.now >= self.settle_at:
             self.settle_at = self.loop.now + self.settings.settle_ms
--- a/landingshift/ledger/store.py
+++ b/landingshift/ledger/store.py
@@ -14,7 +14,7 @@
 from contextlib import AbstractContextManager, contextmanager
 from pathlib import Path
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.ledger.book import Book, Place, Step, Sums
 from landingshift.ledger.entries import START, Closed, Kind, Settled, Use, decode, numbers
 from landingshift.ledger.periods import Calendar, Unit
@@ -332,9 +332,9 @@
 
     def write(self, step: Step) -> None:
         db = self.db
-        points.reach("ledger.append")
+        failpoints.reach("ledger.append")
         db.executemany("INSERT INTO entries VALUES(?, ?, ?, ?)", step.rows)
-        points.reach("ledger.appended")
+        failpoints.reach("ledger.appended")
         if step.names:
             db.executemany(
                 "INSERT INTO names VALUES(?, ?, ?)", [(e.tenant, e.name, n) for e, n in step.names]
@@ -353,7 +353,7 @@
         self.note("low", self.book.low())
         self.note("batch", self.book.batch)
         self.note("head", self.book.last)
-        points.reach("ledger.indexed")
+        failpoints.reach("ledger.indexed")
 
     def note(self, key: str, value: object) -> None:
         self.db.execute(
@@ -381,13 +381,13 @@
 
 @contextmanager
 def transaction(db: sqlite3.Connection, before: str, after: str) -> Iterator[None]:
-    """`before` and `after` name the points on both sides of the commit."""
+    """`before` and `after` name the failpoints on both sides of the commit."""
     db.execute("BEGIN IMMEDIATE")
     try:
         yield
-        points.reach(before)
+        failpoints.reach(before)
         db.execute("COMMIT")
-        points.reach(after)
+        failpoints.reach(after)
     except BaseException:
         if db.in_transaction:
             db.execute("ROLLBACK")
--- a/landingshift/ledger/worker.py
+++ b/landingshift/ledger/worker.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.ledger.book import Refused
 from landingshift.ledger.entries import Batch, Word
 from landingshift.ledger.settings import Settings
@@ -64,7 +64,7 @@
             pass
         if not waiting:
             continue
-        points.reach("ledger.take")
+        failpoints.reach("ledger.take")
         try:
             with store.changing() as book:
                 for batch in waiting:
@@ -83,7 +83,7 @@
         pause = 0
         acked = waiting[-1].number
         waiting.clear()
-        points.reach("ledger.acking")
+        failpoints.reach("ledger.acking")
         tell(Word(acked, shortened=store.book.recent.shortened))
     store.close()
     lock.close()
--- a/landingshift/policies/service.py
+++ b/landingshift/policies/service.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.brain import Server
 from landingshift.fleet.messages import Record, State
 from landingshift.fleet.service import Fleet
@@ -50,7 +50,7 @@
         me, chance = self.node.me, Random(f"{site.seed} policies {site.name}")
         stored = self.journal.stored if self.journal is not None else None
         self.part = Part(
-            me.name, me.run, plan(settings), self.base.check, stored, chance, self.loop.now, points.wall,
+            me.name, me.run, plan(settings), self.base.check, stored, chance, self.loop.now, failpoints.wall,
             most=settings.most,
         )  # fmt: skip
         self.follower = self.part.follower
@@ -64,7 +64,7 @@
         self.node.rooms[ROOM] = self.hear
         self.router.before = self.before
         self.router.health_state.hold(self.name)  # no gateway need hear of one that can't decide yet
-        if points.history:
+        if failpoints.history:
             self.router.taps.add(self)
         fleet.talk.calls |= {
             "policy_do": self.do, "policy_known": self.known, "policy_status": self.status,
@@ -173,7 +173,7 @@
             self.log("policy_aside", on=not may, version=f.version, why="" if may else self.why())
 
     def lay(self, server: Server) -> None:
-        points.reach("policies.laid")
+        failpoints.reach("policies.laid")
         self.base.lay(self.follower.policy)
         server.now = self.loop.now
         server.adopted()
@@ -206,9 +206,9 @@
             return
         had, self.seen = self.seen, seen
         if step != had[4]:
-            points.reach(f"policies.leads_{step or 'none'}")
+            failpoints.reach(f"policies.leads_{step or 'none'}")
         if f.stage is not had[1] or f.change != had[0]:
-            points.reach(f"policies.{f.stage.value or 'none'}")
+            failpoints.reach(f"policies.{f.stage.value or 'none'}")
             self.log("policy_stage", change=f.change, stage=f.stage.value, said=f.said)
         if leads != had[3]:
             self.log("policy_leads", on=leads, term=voter.stored.term if voter is not None else 0)
@@ -228,7 +228,7 @@
 
     def note(self) -> None:
         f = self.follower
-        points.note("decided", self.node.me.name, self.laid, f.policy if f.version == self.laid else b"")
+        failpoints.note("decided", self.node.me.name, self.laid, f.policy if f.version == self.laid else b"")
 
     # For operators
 
--- a/landingshift/upkeep/service.py
+++ b/landingshift/upkeep/service.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.fleet.messages import GONE, Record
 from landingshift.fleet.service import Fleet
 from landingshift.net.transport.loop import Timer
@@ -60,7 +60,7 @@
             self.agreement.keep(NAME, self.book, self.taken)
             self.foreman = Foreman(
                 self.book, plan(settings), self.agreement.propose, lambda _: self.agreement.leads(),
-                self.gone, self.node.members.names, points.wall, self.log,
+                self.gone, self.node.members.names, failpoints.wall, self.log,
             )  # fmt: skip
             fleet.talk.calls |= {
                 "upkeep_ask": self.ask, "upkeep_cancel": self.cancel, "upkeep_hold": self.hold,
@@ -123,7 +123,7 @@
                     self.node.say(sender.name, ROOM, answer)
             case ["told", int(number), str(stage), int(permission), float(lasts)]:
                 if self.hand.told(number, stage, permission, lasts):
-                    points.reach("upkeep.permitted")
+                    failpoints.reach("upkeep.permitted")
                     self.go()
 
     def go(self) -> None:
@@ -133,11 +133,11 @@
             return
         going = self.hand.going
         self.write_mark()
-        points.note("left", self.node.me.name, going)
+        failpoints.note("left", self.node.me.name, going)
         self.log("upkeep_leaves", number=going)
         self.report()
         self.fleet.pass_on()
-        points.reach("upkeep.draining")
+        failpoints.reach("upkeep.draining")
         self.router.drain()
 
     def marked(self) -> int:
@@ -180,7 +180,7 @@
     def ask(self, params: list[Any]) -> int:
         """[[name, minutes, urgency, not_before, not_after, alone, group], ...]; how many are asked for."""
         self.lead()
-        now, rows = points.wall(), []
+        now, rows = failpoints.wall(), []
         if not 0 < len(params) <= MOST:
             raise ValueError(f"1 to {MOST} machines are expected")
         for row in params:
@@ -211,7 +211,7 @@
         for name in names[:MOST]:
             wish = self.book.wishes.get(name)
             if wish is not None and wish.stage is Stage.WISHED:
-                data = command("move", name, wish.number, Stage.CANCELLED.value, why[:300], points.wall())
+                data = command("move", name, wish.number, Stage.CANCELLED.value, why[:300], failpoints.wall())
                 count += self.agreement.propose(data)
         return count
 
--- a/tests/test_agreement_journal.py
+++ b/tests/test_agreement_journal.py
@@ -9,7 +9,7 @@
 from random import Random
 from unittest import mock
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.agreement import journal as journals
 from landingshift.agreement.voter import Entry, Stored
 from landingshift.agreement.journal import BadJournal, Journal
@@ -37,7 +37,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = os.path.join(folder.name, "agreement")
-        self.addCleanup(points.arm, "")
+        self.addCleanup(failpoints.arm, "")
 
     def open(self) -> Journal:
         journal = Journal(self.path, "lab", "a")
@@ -76,10 +76,10 @@
             with mock.patch.object(journals, "LARGEST", 0 if point.endswith("rewritten") else 8 << 20):
                 journal = self.open()
                 after = changed(state, chance)
-                points.arm(point)
-                with self.assertRaises(points.Crash):
+                failpoints.arm(point)
+                with self.assertRaises(failpoints.Crash):
                     journal.save(after)
-                points.arm("")
+                failpoints.arm("")
                 self.close(journal)
             found = self.found()
             self.assertIn(found, (state, after))
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from random import Random
 
-from landingshift import points
+from landingshift import failpoints
 from landingshift.coldstart import snapshot
 from landingshift.coldstart.agent import Lending
 from landingshift.coldstart.leases import Lender, fair
@@ -258,14 +258,14 @@
         self.assertTrue(snapshot.load(os.path.dirname(self.path), "lab", 0.0).why)
 
     def test_a_kill_leaves_the_old_one_or_the_new_one(self) -> None:
-        self.addCleanup(points.arm, "")
+        self.addCleanup(failpoints.arm, "")
         snapshot.save(self.path, "lab", self.entries, 1.0)
         for point in ("coldstart.snapshot_half", "coldstart.snapshot_synced"):
-            points.arm(point)
-            with self.assertRaises(points.Crash):
+            failpoints.arm(point)
+            with self.assertRaises(failpoints.Crash):
                 snapshot.save(self.path, "lab", self.entries[:1], 2.0)
             self.assertEqual(snapshot.load(self.path, "lab", 0.0).entries, self.entries)
-        points.arm("")
+        failpoints.arm("")
         snapshot.save(self.path, "lab", self.entries[:1], 2.0)
         self.assertEqual(snapshot.load(self.path, "lab", 0.0).entries, self.entries[:1])
 
