Rename: what can be switched on is a feature package, no longer a room

Cause: room is our own word for what Python calls a package, and brain.py and streams use room for free space, so that one word had two meanings. No setting and no log field had the word.

--- a/landingshift/agreement/__init__.py
+++ b/landingshift/agreement/__init__.py
@@ -1,1 +1,1 @@
-"""An agreement among a few voters: one sequence of entries, and its journal. Rooms put their books on it."""
+"""An agreement among a few voters: one sequence of entries, and its journal. Packages keep books on it."""
--- a/landingshift/agreement/shelf.py
+++ b/landingshift/agreement/shelf.py
@@ -25,7 +25,7 @@
 
 class Shelf:
     """The first book that is added takes all that names no other. What is of a book that is not here is kept
-    as it came, so that a voter on which a room is off still holds it for the others."""
+    as it came, so that a voter on which a package is off still holds it for the others."""
 
     def __init__(self) -> None:
         self.books: dict[str, Book] = {}
--- a/landingshift/cli/fleet.py
+++ b/landingshift/cli/fleet.py
@@ -31,7 +31,7 @@
     if not path:
         raise Told(f"--at is to name a server, or --toml or {features.ENV} the file with [fleet]")
     try:
-        found = next((f.settings for f in features.load(path, every=True) if f.room == "fleet"), None)
+        found = next((f.settings for f in features.load(path, every=True) if f.package == "fleet"), None)
     except features.BadFeature as err:
         raise Told(str(err)) from err
     if not isinstance(found, Settings):
--- a/landingshift/cli/lab.py
+++ b/landingshift/cli/lab.py
@@ -144,7 +144,7 @@
     broken: str | None,
     only: str | None,
 ) -> None:
-    """All rooms at once under faults drawn from the seed: virtual days, or real processes for minutes."""
+    """All packages at once under faults drawn from the seed: virtual days, or real processes for minutes."""
     from landingshift.lab import fleet as town
     from landingshift.lab import keep as files
 
--- a/landingshift/cli/ledger.py
+++ b/landingshift/cli/ledger.py
@@ -42,7 +42,7 @@
     if not path:
         raise Told(f"--toml or {features.ENV} is to name the file with [ledger]")
     try:
-        found = next((f.settings for f in features.load(path, every=True) if f.room == "ledger"), None)
+        found = next((f.settings for f in features.load(path, every=True) if f.package == "ledger"), None)
     except features.BadFeature as err:
         raise Told(str(err)) from err
     if found is None:
--- a/landingshift/cli/main.py
+++ b/landingshift/cli/main.py
@@ -15,13 +15,13 @@
 class Lazy(click.Group):
     """Loads a group's module when it is asked for: `serve` must not pay for what the others need."""
 
-    ROOMS = ("fleet", "ledger", "lab", "policy", "upkeep")
+    GROUPS = ("fleet", "ledger", "lab", "policy", "upkeep")
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted({*super().list_commands(ctx), *self.ROOMS})
+        return sorted({*super().list_commands(ctx), *self.GROUPS})
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
-        if name in self.ROOMS:
+        if name in self.GROUPS:
             from importlib import import_module
 
             command: click.Command = import_module(f"landingshift.cli.{name}").group
@@ -61,7 +61,7 @@
                 site = config.load({**os.environ, "GW_CONFIG": path})
                 said = f"server {site.name}, {len(site.methods)} methods, {len(site.tenants)} tenants"
             else:
-                said = ", ".join(f.room for f in features.load(path)) or "nothing switched on"
+                said = ", ".join(f.package for f in features.load(path)) or "nothing switched on"
         except (config.BadConfig, features.BadFeature) as err:
             text = str(err)
             click.echo(text if text.startswith(path) else f"{path}: {text}", err=True)
--- a/landingshift/coldstart/agent.py
+++ b/landingshift/coldstart/agent.py
@@ -18,7 +18,7 @@
 from landingshift.fleet.messages import GONE, Record
 from landingshift.fleet.node import Node
 
-ROOM = "cold"
+PACKAGE = "cold"
 ASKS = 3.0  # requests in a lease: two may be lost
 UNMET = 0.9  # of what it needs; with less a second lender is asked too
 SECOND = 5.0  # leases for which a second lender is asked, once one was needed
@@ -127,7 +127,7 @@
         self.asked = self.answered = 0
         self.wanted = 0.0  # calls a second that were asked for last
         self.asked_at = now
-        node.rooms[ROOM] = self.hear
+        node.handlers[PACKAGE] = self.hear
 
     # What this server may do
 
@@ -203,7 +203,7 @@
         if lender == self.node.me.name and self.lending is not None:
             self.answer(lender, self.lending.asked(self.node.me, ask, now), now)
         else:
-            self.node.say(lender, ROOM, ["ask", *ask])
+            self.node.say(lender, PACKAGE, ["ask", *ask])
 
     # What others say
 
@@ -213,7 +213,7 @@
             case ["ask", *ask] if self.lending is not None:
                 answer = self.lending.asked(sender, ask, now)
                 if answer is not None:
-                    self.node.say(sender.name, ROOM, ["give", *answer])
+                    self.node.say(sender.name, PACKAGE, ["give", *answer])
             case ["give", *answer] if sender.name in self.loans:
                 self.answer(sender.name, answer, now)
 
--- a/landingshift/coldstart/service.py
+++ b/landingshift/coldstart/service.py
@@ -8,7 +8,7 @@
 
 from landingshift import failpoints
 from landingshift.coldstart import snapshot
-from landingshift.coldstart.agent import ROOM, Agent, Seen
+from landingshift.coldstart.agent import PACKAGE, Agent, Seen
 from landingshift.coldstart.lists import Question
 from landingshift.coldstart.quiet import Boot, quiet
 from landingshift.coldstart.seek import Seek
@@ -58,7 +58,7 @@
         self.router.health_state.hold(self.name)
         self.router.taps.add(self)
         fleet.talk.calls |= {"coldstart": self.status, "lent": self.lent}
-        self.node.rooms[ROOM] = self.hear
+        self.node.handlers[PACKAGE] = self.hear
         self.timer = self.loop.after(0.0, self.look)
 
     def remember(self) -> bool:
--- a/landingshift/fleet/letters.py
+++ b/landingshift/fleet/letters.py
@@ -1,7 +1,7 @@
 """What is too large for a datagram goes to a peer by a call over TCP, one connection each, and may be lost.
 
-MessagePack-RPC `letter(fleet, sender, run, room, number, part, parts, bytes)` at the address where the peer
-has its datagrams; each part fits into one message of the codec.
+MessagePack-RPC `letter(fleet, sender, run, package, number, part, parts, bytes)` at the address where the
+peer has its datagrams; each part fits into one message of the codec.
 """
 
 from __future__ import annotations
@@ -73,14 +73,14 @@
         self.parts: dict[tuple[str, int, int], dict[int, bytes]] = {}  # of letters that are not whole yet
         talk.calls["letter"] = self.come
 
-    def say(self, name: str, room: str, body: list[Any]) -> None:
+    def say(self, name: str, package: str, body: list[Any]) -> None:
         """To one member, as a datagram where that is enough."""
         record = self.node.members.get(name)
         if record is None:
             return
         packed = msgspec.msgpack.encode(body)
         if len(packed) <= DATAGRAM:
-            self.node.say(name, room, body)
+            self.node.say(name, package, body)
         elif self.under_way >= OUT or len(packed) > LARGEST:
             self.lost += 1
         else:
@@ -88,7 +88,7 @@
             self.number += 1
             pages = [packed[i : i + PAGE] for i in range(0, len(packed), PAGE)]
             me, count = self.node.me, len(pages)
-            head = [self.fleet, me.name, me.run, room, self.number]
+            head = [self.fleet, me.name, me.run, package, self.number]
             calls = [pack([0, i, "letter", [*head, i, count, page]]) for i, page in enumerate(pages)]
             Letter(self.loop, record.address, self.host, calls, self.gone)
 
@@ -102,7 +102,7 @@
                 str(fleet),
                 str(name),
                 int(run),
-                str(room),
+                str(package),
                 int(number),
                 int(part),
                 int(parts),
@@ -111,7 +111,7 @@
                 pass
             case _:
                 raise ValueError("no letter")
-        record, hear = self.node.members.get(name), self.node.rooms.get(room)
+        record, hear = self.node.members.get(name), self.node.handlers.get(package)
         if fleet != self.fleet or record is None or record.run != run or hear is None:
             raise ValueError("from nobody that is known here")
         if not 0 <= part < parts <= LARGEST // PAGE + 1 or len(page) > PAGE:
--- a/landingshift/fleet/messages.py
+++ b/landingshift/fleet/messages.py
@@ -70,7 +70,7 @@
     NEWS = 4
     SUMS = 5  # body: the sums of all buckets, and whether the other side's are wanted
     PART = 6  # the news are a page of the records that differ
-    ROOM = 7  # body: the kind of a message of another room, and what it says
+    PACKAGE = 7  # body: the kind of a message of another package, and what it says
 
 
 class Message(Struct, frozen=True):
--- a/landingshift/fleet/node.py
+++ b/landingshift/fleet/node.py
@@ -107,7 +107,7 @@
         self.suspects: dict[str, None] = {}
         self.contradicted: list[float] = []
         self.answers = Bucket(ANSWERS)
-        self.rooms: dict[str, Callable[[Record, list[Any]], None]] = {}
+        self.handlers: dict[str, Callable[[Record, list[Any]], None]] = {}
         self.watchers: list[Callable[[Member, State | None], None]] = []
         self.book: dict[Address, float] = dict.fromkeys(peers, 0.0)  # addresses to try, and when last tried
         self.version_at = now
@@ -119,7 +119,7 @@
         self.sums_at, self.return_at = now + first, now + first
         self.tidy_at, self.suspects_at = now + 1000.0, now
 
-    # For the driver and for other rooms
+    # For the driver and for other packages
 
     @property
     def me(self) -> Record:
@@ -142,11 +142,11 @@
         return out
 
     def say(self, name: str, kind: str, body: list[Any]) -> bool:
-        """A message of another room to one member; may be lost like any datagram."""
+        """A message of another package to one member; may be lost like any datagram."""
         record = self.members.get(name)
         if record is None or record.state in GONE:
             return False
-        self.send(record.address, Kind.ROOM, 0, [kind, *body])
+        self.send(record.address, Kind.PACKAGE, 0, [kind, *body])
         return True
 
     def state_facts(self, now: float, **facts: float) -> None:
@@ -214,10 +214,10 @@
             case Kind.SUMS:
                 if self.answers.take(now):
                     self.compare(message)
-            case Kind.ROOM:
-                room = self.rooms.get(message.body[0])
-                if room is not None and sender.run == known.run:
-                    room(sender, message.body[1:])
+            case Kind.PACKAGE:
+                handler = self.handlers.get(message.body[0])
+                if handler is not None and sender.run == known.run:
+                    handler(sender, message.body[1:])
         if against is not None and message.kind is not Kind.PING and self.answers.take(now):
             self.send(sender.address, Kind.NEWS, 0, [], [against])
 
--- a/landingshift/fleet/wire.py
+++ b/landingshift/fleet/wire.py
@@ -36,7 +36,7 @@
 
 
 def decode(fleet: str, data: bytes) -> Message:
-    """Raises Broken; nothing that any bytes may hold gets past it unchecked but the bodies of rooms."""
+    """Raises Broken; nothing that any bytes may hold gets past it unchecked but the bodies of packages."""
     if len(data) > LARGEST:
         raise Broken("oversized")
     try:
@@ -58,7 +58,7 @@
 
 def fits(kind: Kind, body: list[Any]) -> bool:
     match kind, body:
-        case (Kind.PING, [str()]) | (Kind.ROOM, [str(), *_]):
+        case (Kind.PING, [str()]) | (Kind.PACKAGE, [str(), *_]):
             return True
         case Kind.ASK, [str(), int(port), str()]:
             return 0 < port < 65536
--- a/landingshift/lab/coldstart_real.py
+++ b/landingshift/lab/coldstart_real.py
@@ -20,14 +20,14 @@
 
 
 class Fleet:
-    """`know`: peers in the settings, the list service, or nobody. The plain program without `rooms`."""
+    """`know`: peers in the settings, the list service, or nobody. The plain program without `packages`."""
 
     def __init__(
         self,
         folder: str,
         count: int,
         seed: int,
-        rooms: bool = True,
+        packages: bool = True,
         know: str = "peers",
         away: str = "",
         scarce: bool = True,
@@ -35,7 +35,7 @@
         cores: int = 8,
         work: float = 4.0,
     ) -> None:
-        self.count, self.rooms, self.know, self.scarce = count, rooms and away != "shares", know, scarce
+        self.count, self.packages, self.know, self.scarce = count, packages and away != "shares", know, scarce
         self.lenders = max(2, min(8, count // 12)) if count >= 6 else 2
         self.rig = Rig(
             folder, count, seed, self.toml, rpcs * count, CALLS * count, ASKS, FILL, COLD, work, cores
@@ -43,7 +43,7 @@
         self.rig.yard.listed = [port.address for port in self.rig.switch.ports.values()]
 
     def toml(self, i: int, rig: Rig) -> str:
-        if not self.rooms:
+        if not self.packages:
             return ""
         place = "{}:{}".format
         ports = [port.address for port in rig.switch.ports.values()]
@@ -274,7 +274,7 @@
 
 def baseline(folder: str, count: int, seed: int, away: str, row: Row) -> None:
     """The program as it was: for the figures beside the others', it promises nothing here."""
-    fleet = Fleet(folder, count, seed, rooms=False)
+    fleet = Fleet(folder, count, seed, packages=False)
     try:
         fleet.start_all()
         fleet.rig.until(wait(fleet), lambda: fleet.rig.warm_at >= 0.0)
--- a/landingshift/lab/fleet.py
+++ b/landingshift/lab/fleet.py
@@ -76,7 +76,7 @@
         day = draw(seed, seen)
         try:
             found.add(play(day, away))
-        except Exception as err:  # of a room or of the town: such a day fails, the others go on
+        except Exception as err:  # of a package or of the town: such a day fails, the others go on
             wrong = [f"crash: {type(err).__name__}: {err}"]
             found.add(Played(days=1, broken={seed: wrong}, failing={seed: day}))
     return found
--- a/landingshift/lab/fleet_real.py
+++ b/landingshift/lab/fleet_real.py
@@ -1,4 +1,4 @@
-"""Chance faults among real processes with all rooms on: days as data, done to servers of the program.
+"""Chance faults among real processes with all packages on: days as data, done to servers of the program.
 
 A supervisor starts whoever ends. What must hold is read off the history that the processes write, the answers
 that their gateways got, and what the system says of their memory and descriptors.
@@ -56,8 +56,8 @@
 
     def __init__(self, folder: str, count: int, seed: int, seconds: float, acts: list[Act]) -> None:
         load = LOAD if count <= MANY else RPCS * 0.04
-        rooms = COMMON_START.format(count=count, calls=CALLS * count)
-        self.yard = Yard(folder, count, seed, load, 0.1, rooms)
+        packages = COMMON_START.format(count=count, calls=CALLS * count)
+        self.yard = Yard(folder, count, seed, load, 0.1, packages)
         self.rig, self.seconds, self.acts = self.yard.rig, seconds, acts
         self.rate = self.rig.rate
         self.under: dict[int, Act] = {}
--- a/landingshift/lab/home.py
+++ b/landingshift/lab/home.py
@@ -104,7 +104,7 @@
         times = Times(probe=20.0, suspect=20.0) if self.away == "suspect" else Times()
         self.node = Node(me, town.peers(i), times, 1000, chance, now, self.heard_of)
         self.node.watchers.append(self.sees)
-        self.node.rooms |= {"policies": self.hear_policies, NAME: self.hear_work}
+        self.node.handlers |= {"policies": self.hear_policies, NAME: self.hear_work}
         self.agent = Agent(self.node, town.plan, chance, now)
         if self.away == "quiet" and self.agent.lending is not None:
             lending = self.agent.lending
@@ -148,7 +148,7 @@
         self.pace = chance
 
     def without(self) -> None:
-        """Takes the defence that is away, where it lies in one of the rooms' objects."""
+        """Takes the defence that is away, where it lies in one of the packages' objects."""
         voter, desk, lending = self.part.voter, self.part.desk, self.agent.lending
         if self.away == "sure" and voter is not None:
             voter.sure = lambda now: voter.role.value == "leader"  # type: ignore[method-assign]
--- a/landingshift/lab/policy_real.py
+++ b/landingshift/lab/policy_real.py
@@ -79,7 +79,7 @@
 {self.more(i)}"""
 
     def more(self, i: int) -> str:
-        """Tables of other rooms."""
+        """Tables of other packages."""
         return ""
 
     def journal(self, i: int) -> str:
--- a/landingshift/lab/upkeep_real.py
+++ b/landingshift/lab/upkeep_real.py
@@ -28,11 +28,11 @@
     """Whoever ends by itself is started again a moment later, as its operator's supervisor does."""
 
     def __init__(
-        self, folder: str, count: int, seed: int, load: float = LOAD, spare: float = SPARE, rooms: str = ""
+        self, folder: str, count: int, seed: int, load: float = LOAD, spare: float = SPARE, packages: str = ""
     ) -> None:
         # Five voters: with three, one on leave would leave a bare majority.
         super().__init__(folder, count, seed, load=load, cold=COLD, voters=5)
-        self.spare, self.rooms = spare, rooms
+        self.spare, self.packages = spare, packages
         self.dead: set[int] = set()  # whom nobody starts again
         self.open = True
         self.again = 0
@@ -50,7 +50,7 @@
 spare_ms = 300
 back_minutes = 0.01
 rings = false
-{self.rooms}
+{self.packages}
 """
 
     def supervise(self) -> None:
@@ -132,8 +132,8 @@
 
     def run(folder: str, count: int, seed: int, row: Row) -> None:
         share, spare = (FULL * (count - 1) / count, 0.0) if full else (load, SPARE)
-        rooms = COMMON_START.format(count=count, calls=1000.0 * count) if cold else ""
-        yard = Yard(folder, count, seed, share, spare, rooms)
+        packages = COMMON_START.format(count=count, calls=1000.0 * count) if cold else ""
+        yard = Yard(folder, count, seed, share, spare, packages)
         try:
             play(yard, row)
             yard.check(row)
--- a/landingshift/net/program/features.py
+++ b/landingshift/net/program/features.py
@@ -1,9 +1,9 @@
 """Our own settings: one TOML file, one table a subsystem; what it does not name stays off and unloaded.
 
-A room that can be switched on has a module `settings` with the struct `Settings` (msgspec, unknown keys
+A package that can be switched on has a module `settings` with the struct `Settings` (msgspec, unknown keys
 refused) and `check(settings, folder)`, which raises `ValueError("key: what is wrong")`, and a module
 `service` with `attach(host, settings) -> Service`. `Settings.needs`, where it is there, names the tables
-without which the room can't be on. Rooms are attached in the order of `ROOMS`.
+without which the package can't be on. Packages are attached in the order of `PACKAGES`.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from landingshift.net.routing.router import Router
 
-ROOMS = {  # table of the file, package
+PACKAGES = {  # table of the file, package
     "ledger": "landingshift.ledger",
     "fleet": "landingshift.fleet",
     "coldstart": "landingshift.coldstart",
@@ -48,15 +48,15 @@
 
 @dataclass(slots=True)
 class Feature:
-    room: str
+    package: str
     settings: Any
 
     def attach(self, host: Host) -> Service:
         try:
-            service: Service = import_module(f"{ROOMS[self.room]}.service").attach(host, self.settings)
+            service: Service = import_module(f"{PACKAGES[self.package]}.service").attach(host, self.settings)
         except ValueError as err:
-            raise BadFeature(f"[{self.room}] {err}") from err
-        host.services[self.room] = service
+            raise BadFeature(f"[{self.package}] {err}") from err
+        host.services[self.package] = service
         return service
 
 
@@ -66,26 +66,26 @@
 
     features = []
     for table, values in data.items():
-        if table not in ROOMS:
-            raise BadFeature(f"{path}: [{table}]: no such table; there is {', '.join(ROOMS)}")
+        if table not in PACKAGES:
+            raise BadFeature(f"{path}: [{table}]: no such table; there is {', '.join(PACKAGES)}")
         if not isinstance(values, dict):
             raise BadFeature(f"{path}: {table}: a table is expected")
-        room = import_module(f"{ROOMS[table]}.settings")
+        part = import_module(f"{PACKAGES[table]}.settings")
         try:
-            settings = msgspec.convert(values, room.Settings)
-            room.check(settings, os.path.dirname(os.path.abspath(path)))
+            settings = msgspec.convert(values, part.Settings)
+            part.check(settings, os.path.dirname(os.path.abspath(path)))
         except msgspec.ValidationError as err:
             raise BadFeature(f"{path}: [{table}] {told(str(err))}") from err
         except ValueError as err:
             raise BadFeature(f"{path}: [{table}] {err}") from err
         if settings.on or every:
             features.append(Feature(table, settings))
-    on = {f.room for f in features if f.settings.on}
+    on = {f.package for f in features if f.settings.on}
     for feature in features:
         for need in getattr(feature.settings, "needs", ()):
             if feature.settings.on and need not in on:
-                raise BadFeature(f"{path}: [{feature.room}] needs the table [{need}], switched on")
-    return sorted(features, key=lambda f: list(ROOMS).index(f.room))
+                raise BadFeature(f"{path}: [{feature.package}] needs the table [{need}], switched on")
+    return sorted(features, key=lambda f: list(PACKAGES).index(f.package))
 
 
 def told(text: str) -> str:
--- a/landingshift/net/routing/health.py
+++ b/landingshift/net/routing/health.py
@@ -18,15 +18,15 @@
         self.loop, self.name, self.roster, self.engine = loop, name, roster, engine
         self.good, self.cheap, self.deep_checks = True, True, deep_checks
         self.reporting = self.ready = False
-        self.held: set[str] = set()  # rooms for which it is kept back
+        self.held: set[str] = set()  # packages for which it is kept back
 
-    def hold(self, room: str) -> None:
+    def hold(self, package: str) -> None:
         """Until all that hold it released it, neither the roster nor a check hears that it is good."""
-        self.held.add(room)
+        self.held.add(package)
 
-    def release(self, room: str) -> None:
-        if room in self.held:
-            self.held.remove(room)
+    def release(self, package: str) -> None:
+        if package in self.held:
+            self.held.remove(package)
             if self.ready:
                 self.start()
 
--- a/landingshift/policies/part.py
+++ b/landingshift/policies/part.py
@@ -70,7 +70,7 @@
             self.voter = Voter(name, plan.voters, stored, times or Times(), chance, now)
             self.desk = Desk(self.voter, self.book, plan, wall)
             self.follower.spare = True
-        self.hearers: list[Callable[[float], None]] = []  # of other rooms, told when entries were taken
+        self.hearers: list[Callable[[float], None]] = []  # of other packages, told when entries were taken
         self.errands: dict[str, Errand] = {}
         self.answers: dict[str, dict[str, Any]] = {}
         self.out: list[tuple[str, list[Any]]] = []
--- a/landingshift/policies/service.py
+++ b/landingshift/policies/service.py
@@ -21,7 +21,7 @@
     from landingshift.net.program.features import Host
     from landingshift.net.routing.records import Routed
 
-ROOM = "policies"
+PACKAGE = "policies"
 SOON = 1.0  # ms: no look is due before
 AGAIN = 500.0  # ms until a disk that took nothing is tried again
 PUMPS = 8  # times in a row that what was saved may bring about more to save
@@ -61,7 +61,7 @@
         self.timer: Timer | None = None
         self.seen: tuple[Any, ...] = ("", Stage.NONE, "", False, "")
         self.part.follower.others = lambda: self.node.members.present
-        self.node.rooms[ROOM] = self.hear
+        self.node.handlers[PACKAGE] = self.hear
         self.router.before = self.before
         self.router.health_state.hold(self.name)  # no gateway need hear of one that can't decide yet
         if failpoints.history:
@@ -91,7 +91,7 @@
             saved = self.save()
             out = self.part.take_out()  # with a full disk all but what would rest on it
             for to, body in out:
-                self.fleet.letters.say(to, ROOM, body)
+                self.fleet.letters.say(to, PACKAGE, body)
             if not saved or not out:
                 break
         self.fleet.pass_on()
@@ -123,7 +123,7 @@
         self.part.deliver(self.loop.clock())
         return True
 
-    # For rooms that keep a book on the same agreement
+    # For packages that keep a book on the same agreement
 
     def keep(self, name: str, book: Any, taken: Callable[[float], None]) -> None:
         """`taken(now)` hears that entries were taken, on voters."""
@@ -315,7 +315,7 @@
         """The loop has ended: nothing more is decided here, which is what the others wait for."""
         self.part.bye()
         for to, body in self.part.take_out():
-            self.node.say(to, ROOM, body)
+            self.node.say(to, PACKAGE, body)
         self.fleet.pass_on()
         if self.journal is not None:
             self.journal.close()
--- a/landingshift/upkeep/service.py
+++ b/landingshift/upkeep/service.py
@@ -22,7 +22,7 @@
     from landingshift.net.program.features import Host
     from landingshift.net.routing.records import Routed
 
-ROOM = "upkeep"
+PACKAGE = "upkeep"
 REST = 2000.0  # ms between two reports of one that nobody wants out
 BUSY = 500.0
 WIDTH = 1000.0  # ms over which RPCs are counted
@@ -30,7 +30,7 @@
 
 
 class Agreement(Protocol):
-    """What keeps the book: the service of another room."""
+    """What keeps the book: the service of another package."""
 
     is_voter: bool
     leader: str
@@ -67,7 +67,7 @@
                 "upkeep_status": self.status, "upkeep_plan": self.plan, "upkeep_history": self.history,
             }  # fmt: skip
         fleet.talk.calls["upkeep_here"] = self.here
-        self.node.rooms[ROOM] = self.hear
+        self.node.handlers[PACKAGE] = self.hear
         self.router.taps.add(self)
         self.timer: Timer | None = self.loop.after(REST * self.chance.random(), self.tick)
 
@@ -111,7 +111,7 @@
         if leader == self.node.me.name:
             self.hear(self.node.me, body)
         elif leader:
-            self.node.say(leader, ROOM, body)
+            self.node.say(leader, PACKAGE, body)
 
     def hear(self, sender: Record, body: list[Any]) -> None:
         match body:
@@ -120,7 +120,7 @@
                 if answer is not None and sender.name == self.node.me.name:
                     self.hear(sender, answer)
                 elif answer is not None:
-                    self.node.say(sender.name, ROOM, answer)
+                    self.node.say(sender.name, PACKAGE, answer)
             case ["told", int(number), str(stage), int(permission), float(lasts)]:
                 if self.hand.told(number, stage, permission, lasts):
                     failpoints.reach("upkeep.permitted")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -45,7 +45,7 @@
                 self.assertIn(said, result.output)
 
     def test_what_is_off_is_not_loaded(self) -> None:
-        # Its memory limit can be 32 MB: no room, and no library that only a room needs.
+        # Its memory limit can be 32 MB: no package, and no library that only one of them needs.
         code = (
             "import sys, landingshift.net.program.main, landingshift.net.program.features as f\n"
             "assert f.load(sys.argv[1]) == []\n"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -129,7 +129,7 @@
 class Bytes(unittest.TestCase):
     def test_there_and_back(self) -> None:
         for kind, body in [(Kind.PING, ["n2"]), (Kind.ACK, []), (Kind.ASK, ["10.0.0.1", 5, "n2"]),
-                           (Kind.SUMS, [*range(SUMS), 1]), (Kind.ROOM, ["cold", 1, 2.5])]:  # fmt: skip
+                           (Kind.SUMS, [*range(SUMS), 1]), (Kind.PACKAGE, ["cold", 1, 2.5])]:  # fmt: skip
             message = Message(kind, record(1, facts={"warm": 0.5}), 9, body, [record(2, state=State.DEAD)])
             self.assertEqual(wire.decode("f", wire.encode("f", message)), message)
 
