--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -14,32 +14,28 @@
 from typing import Any
 
 from landingshift.fleet.talk import NoAnswer, ask
+from landingshift.lab.rig import TALK, unused_net
 from tests.helpers import CONFIG, Gateway, World, launch
 
-TOML = '[fleet]\nfleet = "lab"\nlisten = "127.0.0.1:{port}"\nzone = "z{zone}"\npeers = [{peers}]\n'
-
-
-def ports(count: int) -> list[int]:
-    """Free ones, for UDP and TCP alike."""
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    found = [s.getsockname()[1] for s in socks]
-    for sock in socks:
-        sock.close()
-    return found
+TOML = '[fleet]\nfleet = "lab"\nlisten = "{place}"\nzone = "z{zone}"\npeers = [{peers}]\n'
 
 
 class Servers(unittest.TestCase):
     def setUp(self) -> None:
-        self.ports = ports(5)
+        # Ports that were free a moment ago may be a neighbour's by the time a server binds them: these
+        # addresses are nobody else's while the claim is held.
+        net, claim = unused_net()
+        self.addCleanup(claim.close)
+        self.places = [(f"127.{net}.0.{i + 1}", TALK) for i in range(5)]
         self.worlds: list[World] = [self.start(i) for i in range(5)]
 
     def start(self, i: int) -> World:
-        peers = ", ".join(f'"127.0.0.1:{p}"' for p in self.ports[:2])
-        toml = TOML.format(port=self.ports[i], zone=i % 2, peers=peers)
+        peers = ", ".join('"{}:{}"'.format(*place) for place in self.places[:2])
+        toml = TOML.format(place="{}:{}".format(*self.places[i]), zone=i % 2, peers=peers)
         return World(self, toml=toml, name=f"n{i}", seed=f"{i + 1:x}", stop_ms=300)
 
     def call(self, i: int, name: str) -> Any:
-        return ask(("127.0.0.1", self.ports[i]), name, [])
+        return ask(self.places[i], name, [])
 
     def states(self, i: int) -> dict[str, str]:
         return {row["name"]: row["state"] for row in self.call(i, "members")}
@@ -83,18 +79,23 @@
         end, sent = time.monotonic() + 3.0, 0
         while time.monotonic() < end:
             for data in (b"", b"\x93\x02\xa4ping\x95", os.urandom(200), bytes(4000), b"\xdd\xff\xff\xff\xff"):
-                rude.sendto(data, ("127.0.0.1", self.ports[0]))
+                rude.sendto(data, self.places[0])
                 sent += 1
         Gateway(self.worlds[0]).probe()  # it serves as before
-        self.assertEqual(set(self.states(0).values()), {"alive"})
-        self.assertEqual(set(self.states(1).values()), {"alive"})
         self.assertGreater(sent, 1000)
         line = self.worlds[0].logged("fleet_strange")
         self.assertIn("garbage", line)
+        # On a full machine one that is flooded may be suspected for a moment, which takes nothing from it.
+        self.until(10.0, lambda: all(set(self.states(i).values()) == {"alive"} for i in range(5)))
+        for w in self.worlds:
+            w.process.kill()
+        for w in self.worlds:
+            w.ends()
+            self.assertEqual([line for line in w.lines if line["event"] == "fleet_dead"], [])
 
     def test_operators_are_answered_and_strangers_hung_up_on(self) -> None:
         command = [sys.executable, "-c", "from landingshift.cli import start; start()", "fleet"]
-        at = ["--at", f"127.0.0.1:{self.ports[0]}"]
+        at = ["--at", "{}:{}".format(*self.places[0])]
         self.until(10.0, lambda: len(self.states(0)) == 5)
         rows = json.loads(subprocess.check_output([*command, "members", *at, "--json"]))
         self.assertEqual([r["name"] for r in rows], [f"n{i}" for i in range(5)])
@@ -105,7 +106,7 @@
         self.assertEqual((gone.returncode, "127.0.0.1:1" in gone.stderr), (1, True))
         with self.assertRaises(NoAnswer):
             self.call(0, "nothing")
-        with socket.create_connection(("127.0.0.1", self.ports[0]), 5.0) as sock:
+        with socket.create_connection(self.places[0], 5.0) as sock:
             sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
             self.assertEqual(sock.recv(100), b"")
 
