The first credit of a cold server is divided among all callers that the settings name

Cause: cold servers fall under the sum of what all send, and the credit is told by caller. Server.tell takes the busiest caller's share for the credit's part: 1 while none has asked, so that each of 30 callers is told the whole. Ruled out: runs on the cores (0.62 of what a cold server survives) and the store (0.46 of what it may hold).

Change: settings.extra.callers, which was not read, is decoded (a wrong one is refused by name); a cold server counts each of those callers as one that asked, less so over the 4 s for which it remembers callers. Warm starts, other adverts and sites that name no callers are as they were. Covers any first word that many take for their own; could harm where few of many callers ever come: they hear it seldom, and it is gone after 4 s.

--- a/landingshift/brain.py
+++ b/landingshift/brain.py
@@ -163,6 +163,7 @@
         self.tenant_rate: dict[Tenant, Ring] = {t: Ring(5, 1000.0) for t in settings.tenants}
         self.worth: dict[Tenant, float] = {t: 1.0 for t in settings.tenants}
         self.pushed, self.callers = Ring(4, 500.0), Ring(4, 1000.0)
+        self.met = inf  # when it read its first RPC
         self.back = Ring(5, 2000.0)  # 1 where a caller was here within those 4 s, else 0
         self.values, self.begun = Ring(4, 500.0), Ring(4, 500.0)  # worth over work of all read; starts
         self.floor = self.reading = self.on_cores = 0.0
@@ -277,6 +278,7 @@
         job = Job(rpc, self.learned[rpc.method], self.now)
         if rpc.tenant is not None:
             self.tenant_rate[rpc.tenant].add(self.now, 1.0)
+        self.met = min(self.met, self.now)
         self.callers.turn(self.now)
         self.back.add(self.now, 1.0 if any(rpc.caller in b for b in self.callers.buckets) else 0.0)
         self.callers.add(self.now, rpc.caller)
@@ -638,7 +640,12 @@
             busy = max(self.cap, len(p[Want.RUN])) + len(p[Want.CALL]) + len(p[Want.LINE_UP])
             # By the share of the busiest caller: split evenly it would starve while others leave theirs.
             seen = Counter(self.callers.values(self.now))
-            biggest = max(seen.values(), default=1) / max(1, seen.total())
+            # Nothing falls over: a first credit is taken by each of all callers, and a cold server that knows
+            # none yet would get it times their number. Each counts as one that asked, less so as it learns.
+            known = min(1.0, max(0.0, self.now - self.met) / (self.callers.count * self.callers.width))
+            guess = (1.0 - known) * (self.set.cold and self.set.callers > 0)
+            asked = seen.total() + guess * self.set.callers
+            biggest = (max(seen.values(), default=0) + guess) / asked if asked else 1.0
             amount = (busy + room) * biggest * self.keeps_up * self.here
         if round(amount, 3) != self.advert and self.set.advert is not Advert.NONE:
             self.advert = round(amount, 3)
--- a/landingshift/interface.py
+++ b/landingshift/interface.py
@@ -72,6 +72,7 @@
     over_share_worth: float
     by_work: bool  # criticality counts for each unit of work
     servers: int
+    callers: int  # at this start; 0 where that is not told
     cores: int
     cold: bool
     cold_from: float
--- a/landingshift/lab/home.py
+++ b/landingshift/lab/home.py
@@ -70,7 +70,7 @@
 def settings(servers: int, tenant: Tenant) -> Settings:
     return Settings(
         methods=list(METHODS), tenants=[tenant], over_share_worth=0.1, by_work=False, servers=servers,
-        cores=CORES, cold=True, cold_from=0.3, cold_time=COLD, memory_kb=100_000.0, run_factor=4.0,
+        callers=0, cores=CORES, cold=True, cold_from=0.3, cold_time=COLD, memory_kb=100_000.0, run_factor=4.0,
         key_kb=1.0,
         share_for=0.0, stopping=Stopping.NONE, below=Below.SHARED, calls_out=50.0, calls_over=5000.0,
         linger=100.0, advert=Advert.NONE, deadline_told=True, marks_retry=True, hold_off_max=1000.0,
--- a/landingshift/settings.py
+++ b/landingshift/settings.py
@@ -99,6 +99,7 @@
         over_share_worth=top.number("over-share-worth", 1.0),
         by_work=data.get("worth-by") == "work",
         servers=max(1, int(top.number("peers-total", 1))),
+        callers=int(extra.number("callers", 0.0)),
         cores=int(cores),
         cold=bool(extra.take("cold", False)),
         cold_from=rules.number("cold-from"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,6 +33,7 @@
     over_share_worth=0.1,
     by_work=False,
     servers=4,
+    callers=0,
     cores=2,
     cold=False,
     cold_from=0.25,
@@ -410,8 +411,9 @@
             for name, effect in [("m", "retryable"), ("token", "dedup"), ("once", "fragile")]
         ],
         "extra": {
-            "caller-idle": 30000.0, "calls-out": 50.0, "calls-over": 5000.0, "class-calls": [True] * 3,
-            "class-skip-worth": [0.5, 0.0, 0.0], "deep-checks": True, "depends-on": "shared",
+            "caller-idle": 30000.0, "callers": 3, "calls-out": 50.0, "calls-over": 5000.0,
+            "class-calls": [True] * 3, "class-skip-worth": [0.5, 0.0, 0.0],
+            "deep-checks": True, "depends-on": "shared",
             "gauges": ["core_use", "on_cores", "heap_share", "links"], "halt": "silent", "key-kb": 1.0,
             "linger": 100.0, "memory-kb": 90000.0, "n-cores": 40, "passes-deadline": True, "run-factor": 2.0,
             "say": "credit", "share-for": 0.0,
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -43,6 +43,7 @@
             "settings.extra.class-skip-worth", "settings.extra.say", "settings.extra.halt",
             "settings.extra.key-kb", "settings.extra.share-for", "settings.extra.deep-checks",
             "settings.extra.passes-deadline", "settings.extra.caller-idle", "settings.extra.depends-on",
+            "settings.extra.callers",
             "settings.classes.1.repeat-window", "settings.classes.0.late-share",
             "settings.orgs.0.allowance-per-s",
         ]:  # fmt: skip
@@ -86,6 +87,7 @@
             ("settings.orgs", [{"name": ""}], "settings.orgs[0].name"),
             ("settings.orgs", {}, "settings.orgs"), ("settings.classes", None, "settings.classes"),
             ("settings.extra.class-calls", 5, "class-calls"), ("settings.extra.gauges", "x", "gauges"),
+            ("settings.extra.callers", "x", "settings.extra.callers"),
             ("settings.extra.class-skip-worth", ["x"], "class-skip-worth"),
             ("settings.classes.0.effect", "keyed", "settings.classes[0].effect"),
             ("settings.classes.0.slo", -1, "settings.classes[0].slo"),
