A gateway that repeats on a new connection is not cut off where the engine may not be asked

The logs have, within 0.2 s of a gateway's reset, engine_no SKIP for a known RPC and a connection closed as unknown_rpc, one to three a reset, with up to four RPCs open on it: those were lost. Ruled out by a probe in a copy (errno, end of input, ids of what was open): the reset connections themselves (recv 104, the lost ids were on none of them). The probe named the methods: 40 of 40 refusals were of seat-sale, of which no call may be left out, 5 of 5 that were known of pass-renew, whose calls may. Cause: Router.joined asks by SKIP whether the engine knows a repeat on an unproven connection, and takes NO for 'unknown'; NO also says that the site does not allow the command, and SKIP is not allowed where skip_share is 0.

Change: there it does not ask. The repeat is answered from the table once the connection has proved itself by another RPC, and aborted after the second in which a connection must do so; nothing is cut. What must hold: a result is still given to nobody unproven, and a first try that ran is never pushed back. It can't return by another command: only RUN and this question are read as 'unknown', RUN is allowed everywhere.

Test: fails without it (SKIP said where RUN is due, answers to a connection that proved nothing). The tests of the question itself now give their tokened method a skip share, as the engine allows it only there.

--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from landingshift.net.protocol import gateway as wire
+from landingshift.net.routing.dedup import Entry
 from landingshift.net.routing.records import Routed
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
@@ -38,6 +39,7 @@
         self.fault = ""  # the field that the last bad RPC had wrong
         self.away = 0.0  # after goaway: when it is closed if the gateway does not
         self.proven = False  # once the engine has known an RPC of it
+        self.doubted: dict[Routed, Entry] = {}  # repeats that are answered once it is proven
         self.born = self.heard = (
             gateways.loop.now
         )  # since when it is here, and its last whole message or answer
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -16,7 +16,7 @@
 from landingshift.net.protocol import gateway as wire
 from landingshift.net.routing.database import Database
 from landingshift.net.routing.engine import Engine
-from landingshift.net.routing.gateways import OPEN, Connection, Gateways
+from landingshift.net.routing.gateways import OPEN, QUIET, Connection, Gateways
 from landingshift.net.routing.health import Health
 from landingshift.net.routing.dedup import Entry, DedupTable
 from landingshift.net.routing.records import Routed
@@ -253,8 +253,11 @@
 
     def prove(self, rpc: Routed) -> None:
         connection = self.gateways.table.get(rpc.connection)
-        if connection is not None:
+        if connection is not None and not connection.proven:
             connection.proven = True
+            for doubted, entry in connection.doubted.items():
+                self.todo.append(lambda doubted=doubted, entry=entry: self.joined(doubted, entry))  # type: ignore[misc]
+            connection.doubted = {}
 
     def refused(self, no: engine_wire.No) -> None:
         rpc = self.find(no.rid)
@@ -447,15 +450,25 @@
         for waiting in self.dedup.end(entry, outcome, result, self.loop.now):
             self.todo.append(lambda waiting=waiting: self.joined(waiting, entry))  # type: ignore[misc]
 
-    def joined(self, rpc: Routed, entry: Entry) -> None:
+    def joined(self, rpc: Routed, entry: Entry, last: bool = False) -> None:
+        """`last`: there is no more time for its connection to prove itself."""
         if rpc.closed or rpc.job is None:
             return
         good = entry.outcome is Outcome.OK and entry.result is not None
         connection = self.gateways.table.get(rpc.connection)
         if good and connection is not None and not connection.proven:
             # A stranger that repeats a gateway's key must not be given what was made for that one.
-            self.engine.know(rpc, lambda: self.known(rpc, entry))
-            return
+            if rpc.method.skip_share > 0.0:
+                self.engine.know(rpc, lambda: self.known(rpc, entry))
+                return
+            if not last:
+                # Where no call may be left out the engine refuses the question, for RPCs that it knows too:
+                # no gateway may be cut off for that with all that it has open. What else it brings proves it.
+                connection.doubted = {r: e for r, e in connection.doubted.items() if not r.closed}
+                connection.doubted[rpc] = entry
+                self.loop.after(QUIET, lambda: self.todo.append(lambda: self.joined(rpc, entry, True)))
+                return
+            good = False
         if good:
             self.ok(rpc, entry.result or b"", entry.work)
         else:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -178,7 +178,7 @@
 class Strangers(unittest.TestCase):
     def test_a_kept_result_is_for_gateways_alone(self) -> None:
         # Whoever repeats a gateway's key on a connection of its own must not get what was made for that one.
-        w = World(self, settings__extra__share_for=60000.0)
+        w = World(self, settings__extra__share_for=60000.0, settings__extra__class_skip_worth=[0.5, 0.3, 0.0])
         g = Gateway(w)
         notice = 0
         for method, field in (("token", "once"), ("m", "key")):
@@ -209,8 +209,43 @@
                         else:
                             self.assertEqual(h.ends(), "closed")
 
+    def test_where_the_engine_may_not_be_asked_the_connection_proves_itself(self) -> None:
+        # No call of this method may be left out, so that the engine refuses SKIP for what it knows too: a
+        # gateway that came again after a reset was cut off for it, and all that it had open was lost.
+        w = World(self, settings__extra__class_skip_worth=[0.5, 0.0, 0.0])
+        g = Gateway(w)
+        n, notice = g.rpc("token", once="a"), 1
+        w.engine.expect("RUN", g.id)
+        w.engine.say("DONE", notice, g.id, "good 5", body=b"r")
+        self.assertEqual(g.answer(), (n, b"r"))
+        for proves in ("before", "DONE", "NEED", "nothing"):
+            with self.subTest(proves=proves):
+                h = Gateway(w)
+                if proves == "nothing":
+                    came, n = time.monotonic(), h.rpc("token", once="a")
+                    with w.engine.answering():
+                        self.assertEqual(h.final(), (n, "Failed"))
+                    self.assertLess(time.monotonic() - came, 2.0)  # of the 3 s that its caller waits
+                    continue
+                if proves == "before":
+                    notice += 1
+                    other = h.rpc()
+                    w.engine.expect("RUN", h.id)
+                    w.engine.say("DONE", notice, h.id, "good 5", body=b"s")
+                    self.assertEqual(h.answer(), (other, b"s"))
+                repeats = [h.rpc("token", once="a") for _ in range(2)]
+                if proves != "before":
+                    other, rid, notice = h.rpc(), h.id, notice + 1
+                    w.engine.expect("RUN", rid)
+                    if proves == "NEED":
+                        w.engine.say("NEED", notice, rid, body=b"q")
+                    else:
+                        w.engine.say("DONE", notice, rid, "good 5", body=b"s")
+                        self.assertEqual(h.answer(), (other, b"s"))
+                self.assertEqual([h.answer(), h.answer()], [(repeat, b"r") for repeat in repeats])
+
     def test_the_link_lost_while_it_is_asked(self) -> None:
-        w = World(self)
+        w = World(self, settings__extra__class_skip_worth=[0.5, 0.3, 0.0])
         g, h = Gateway(w), Gateway(w)
         g.rpc("token", once="a")
         first = g.id
