A repeat that is read past the end of its own wait is still known by its arrival

Cause: found by reading. Router.read gives the module an age of at most the RPC's own wait, and the deduplication table reckoned a repeat's arrival from that. Followed on sockets: window 250 ms, arrival at 200, wait 50, read at 400: "Busy"; with a wait of 3000 the kept result.

Change: the table is told when the repeat reached the machine; the module's measure stays bounded as before.

--- a/landingshift/net/routing/dedup.py
+++ b/landingshift/net/routing/dedup.py
@@ -27,14 +27,16 @@
         self.bound, self.share_for, self.oldest, self.bytes = bound, share_for, oldest, 0
         self.entries: dict[tuple[bytes, str], Entry] = {}
 
-    def find(self, rpc: Routed, now: float) -> Entry | None:
+    def find(self, rpc: Routed, now: float, came: float) -> Entry | None:
+        """`came`: when it reached the machine."""
         entry = self.entries.get(rpc.dedup_key) if rpc.dedup_key else None
         if entry is None:
             return None
         if entry.outcome is None:
             return entry  # its effect may be under way: a second run beside it would have it twice
-        # The window counts to the time at which a repeat came to the machine: it may be read long after.
-        stale = entry.until <= now - rpc.waited
+        # The window counts to the time at which a repeat came to the machine: it may be read long after, past
+        # the end of its own wait, too. Taken for a new RPC it would be told that it never ran.
+        stale = entry.until <= came
         if rpc.method.effect is Effect.IDEMPOTENT:
             stale = stale or entry.result is None or now - entry.ended > self.share_for
         if stale:
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -139,6 +139,7 @@
                 raise wire.BadField("at")
             if f.wait is None and st.settings.deadline_told:
                 raise wire.BadField("wait")
+            age = max(0.0, now - f.at)
             # Where callers do not tell how long they wait, their method's deadline says it.
             wait = method.deadline if f.wait is None else f.wait
             if wait > LONGEST * method.deadline:
@@ -166,7 +167,7 @@
             method=method,
             tenant=tenant,
             remaining=min(wait, f.at + wait - now) if st.settings.deadline_told else None,
-            waited=min(wait, max(0.0, now - f.at)),  # longer than it waits tells no more
+            waited=min(wait, age),  # longer than it waits tells no more
             kb=f.kb,
             caller=f.caller,
             hint=f.hint,
@@ -183,7 +184,7 @@
             tenant_name=f.tenant,
             mark=f.mark,
         )
-        rpc.original = self.dedup.find(rpc, self.loop.now)
+        rpc.original = self.dedup.find(rpc, self.loop.now, self.loop.now - age)
         rpc.repeat = rpc.original is not None
         rpc.slot = self.rpcs.put(rpc)
         self.by_id[rpc.rid] = rpc.slot
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -107,8 +107,8 @@
                     assert entry is not None
                     kept.end(entry, Outcome.OK, bytes(1000), float(i))
                 self.assertLess(sum(len(e.result or b"") for e in kept.entries.values()), 20 * (ENTRY + 1000))
-                self.assertEqual(kept.find(routed(200, effect, "0"), 200.0) is not None, known)
-                self.assertIsNotNone(kept.find(routed(200, effect, "99"), 200.0))
+                self.assertEqual(kept.find(routed(200, effect, "0"), 200.0, 200.0) is not None, known)
+                self.assertIsNotNone(kept.find(routed(200, effect, "99"), 200.0, 200.0))
 
     def test_how_long(self) -> None:
         for effect, outcome, at, known in [
@@ -121,11 +121,11 @@
                 kept = DedupTable(10000, share_for=500.0)
                 owner = routed(1, effect)
                 kept.keep(owner, 5000.0)
-                self.assertIsNotNone(kept.find(routed(2, effect), 100.0))
+                self.assertIsNotNone(kept.find(routed(2, effect), 100.0, 100.0))
                 entry = kept.owned(owner)
                 assert entry is not None
                 kept.end(entry, outcome, b"r", 200.0)
-                self.assertEqual(kept.find(routed(3, effect), at) is not None, known)
+                self.assertEqual(kept.find(routed(3, effect), at, at) is not None, known)
 
 
 class Calls(unittest.TestCase):
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -13,9 +13,9 @@
 TOKENED = Method(Effect.TOKENED, 1000.0, 0.0, 3000.0, 1.0, 0.0, 500.0, False, 0.0)
 
 
-def routed(name: str, waited: float = 0.0, method: Method = TOKENED) -> Routed:
+def routed(name: str, method: Method = TOKENED) -> Routed:
     return Routed(
-        method=method, tenant=None, remaining=None, waited=waited, kb=1.0, caller=0, hint=None, keyed=False,
+        method=method, tenant=None, remaining=None, waited=0.0, kb=1.0, caller=0, hint=None, keyed=False,
         repeat=False, retry=False, write=False, rid=b"", name=b"m", body=b"", connection=0, number=0,
         dedup_key=(b"m", name),
     )  # fmt: skip
@@ -36,15 +36,15 @@
                 entry = kept.owned(first)
                 assert entry is not None
                 kept.end(entry, Outcome.OK, b"r", 100.0)
-                self.assertIs(kept.find(routed("a", waited), read), entry if known else None)
+                self.assertIs(kept.find(routed("a"), read, read - waited), entry if known else None)
 
     def test_it_does_not_end_under_a_run(self) -> None:
         kept, first = self.table()
         entry = kept.owned(first)
         assert entry is not None
-        self.assertIs(kept.find(routed("a"), 9000.0), entry)
+        self.assertIs(kept.find(routed("a"), 9000.0, 9000.0), entry)
         kept.end(entry, Outcome.OK, b"r", 9001.0)
-        self.assertIsNone(kept.find(routed("a"), 9002.0))
+        self.assertIsNone(kept.find(routed("a"), 9002.0, 9002.0))
 
     def test_short_memory_forgets_no_effect(self) -> None:
         kept = DedupTable(3 * (ENTRY + 100), 0.0, oldest=1000.0)
@@ -75,8 +75,9 @@
         w.engine.say("DONE 1", first, "good 5", body=b"r")
         g.answer()
         until(lambda: time.time() * 1000 > came + 400)
-        n, _ = self.tokened(w, g, "a", at=str(came + 200))
-        self.assertEqual(g.answer(), (n, b"r"))  # from the first run
+        for wait in ("3000", "50"):  # read past the end of its own wait, too: told "Busy" it ran and did not
+            n, _ = self.tokened(w, g, "a", at=str(came + 200), wait=wait)
+            self.assertEqual(g.answer(), (n, b"r"))  # from the first run
         m, rid = self.tokened(w, g, "a")  # this one came after it
         w.engine.expect("RUN", rid)
         w.engine.say("DONE 2", rid, "good 5", body=b"s")
