A repeat on a new connection in a flood is not told that its first try never ran

Cause: found by reading, looking for every place that answers "Busy" without asking the deduplication table. Ruled out by reading: bad fields (no gateway sends them), the same id again (aborted already), no engine yet (nothing ran).

Change: what has the key of a kept tokened RPC is aborted there, the rest is pushed back as before. Result: the row in test_repeats (40 strangers with 32 RPCs each, then a plain RPC and the repeat on a new connection) has "Busy" for the repeat without the change and "Failed" with it; the plain one is pushed back at once in both.

--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -158,11 +158,15 @@
                 self.report("bad_rpc", field=str(err), method=call.method)
             connection.turn_down(call.number, str(err), wire.pushed_back(call.number, self.told))
             return
-        if self.server is None or (not connection.proven and len(self.by_id) >= MANY):
-            connection.answer(call.number, wire.pushed_back(call.number, self.told))
-            return
         tokened = method.effect is Effect.TOKENED
         same = f.token if tokened else f.key
+        dedup_key = (call.method.encode(), same) if same else None
+        if self.server is None or (not connection.proven and len(self.by_id) >= MANY):
+            # In a flood, too, what repeats an RPC with an effect must not hear that it never ran here.
+            ran = tokened and dedup_key in self.dedup.entries
+            told = (wire.aborted if ran else wire.pushed_back)(call.number, self.told)
+            connection.answer(call.number, told)
+            return
         rpc = Routed(
             method=method,
             tenant=tenant,
@@ -180,7 +184,7 @@
             body=f.body,
             connection=connection.slot,
             number=call.number,
-            dedup_key=(call.method.encode(), same) if same else None,
+            dedup_key=dedup_key,
             tenant_name=f.tenant,
             mark=f.mark,
         )
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -245,6 +245,25 @@
                         self.assertEqual(h.answer(), (other, b"s"))
                 self.assertEqual([h.answer(), h.answer()], [(repeat, b"r") for repeat in repeats])
 
+    def test_on_a_new_connection_in_a_flood(self) -> None:
+        # More RPCs in hand than strangers may bring: the repeat heard "Busy", as if its first try never ran.
+        w = World(self, limits={"sockets": 200}, settings__extra__n_cores=1)
+        g = Gateway(w)
+        n = g.rpc("token", once="a")
+        w.engine.expect("RUN", g.id)
+        w.engine.say("DONE 1", g.id, "good 5", body=b"r")
+        self.assertEqual(g.answer(), (n, b"r"))
+        crowd = [Gateway(w) for _ in range(40)]
+        for one in crowd:
+            for _ in range(32):
+                one.rpc(wait="9000", kb="0.001")
+        h = Gateway(w)
+        for method, answer in [("m", "Busy"), ("token", "Failed")]:
+            with self.subTest(method=method):
+                came, n = time.monotonic(), h.rpc(method, once="a")
+                self.assertEqual(h.answer(), (n, answer))
+                self.assertLess(time.monotonic() - came, 0.9)  # at once, not as one that waits to be proven
+
     def test_the_link_lost_while_it_is_asked(self) -> None:
         w = World(self, settings__extra__class_skip_worth=[0.5, 0.3, 0.0])
         g, h = Gateway(w), Gateway(w)
