An RPC's id may have its hex digits in either case

Need: the protocol page says 16 hex digits; the server took small letters only and pushed an RPC with others back as one with a bad field, which on a new connection ends it. Change: both cases are taken and go to the engine as they came; nothing else of lines of words can be forged with them.

--- a/landingshift/net/protocol/gateway.py
+++ b/landingshift/net/protocol/gateway.py
@@ -12,7 +12,7 @@
 
 BODY = 2048
 FRAME = 16384  # an RPC with all its fields takes a fifth of this
-ID = re.compile("[0-9a-f]{16}")
+ID = re.compile("[0-9a-fA-F]{16}")
 NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -328,7 +328,8 @@
             for pieces in (1, 7, 10_000):
                 with self.subTest(form=form, pieces=pieces):
                     w.ids += 1
-                    told = {"id": f"{w.ids:016x}", "at": str(int(time.time() * 1000)), "from": "1",
+                    rid = f"{'ABCDEF' if pieces == 7 else 'abcdef'}{w.ids:010}"  # hex digits, of either case
+                    told = {"id": rid, "at": str(int(time.time() * 1000)), "from": "1",
                             "tenant": "t", "wait": "2500", "kb": "2.5", "new": "x"}  # fmt: skip
                     n = 10 * i + min(pieces, 9)
                     data = array(4, form) + number(0, form) + number(n, form) + text("m", form)
