--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -139,6 +139,7 @@
                 raise wire.BadField("at")
             if f.wait is None and st.settings.deadline_told:
                 raise wire.BadField("wait")
+            age = max(0.0, now - f.at)
             # Where callers do not tell how long they wait, their method's deadline says it.
             wait = method.deadline if f.wait is None else f.wait
             if wait > LONGEST * method.deadline:
@@ -157,16 +158,20 @@
                 self.report("bad_rpc", field=str(err), method=call.method)
             connection.turn_down(call.number, str(err), wire.pushed_back(call.number, self.told))
             return
-        if self.server is None or (not connection.proven and len(self.by_id) >= MANY):
-            connection.answer(call.number, wire.pushed_back(call.number, self.told))
-            return
         tokened = method.effect is Effect.TOKENED
         same = f.token if tokened else f.key
+        dedup_key = (call.method.encode(), same) if same else None
+        if self.server is None or (not connection.proven and len(self.by_id) >= MANY):
+            # In a flood, too, what repeats an RPC with an effect must not hear that it never ran here.
+            ran = tokened and dedup_key in self.dedup.entries
+            told = (wire.aborted if ran else wire.pushed_back)(call.number, self.told)
+            connection.answer(call.number, told)
+            return
         rpc = Routed(
             method=method,
             tenant=tenant,
             remaining=min(wait, f.at + wait - now) if st.settings.deadline_told else None,
-            waited=min(wait, max(0.0, now - f.at)),  # longer than it waits tells no more
+            waited=min(wait, age),  # longer than it waits tells no more
             kb=f.kb,
             caller=f.caller,
             hint=f.hint,
@@ -179,11 +184,11 @@
             body=f.body,
             connection=connection.slot,
             number=call.number,
-            dedup_key=(call.method.encode(), same) if same else None,
+            dedup_key=dedup_key,
             tenant_name=f.tenant,
             mark=f.mark,
         )
-        rpc.original = self.dedup.find(rpc, self.loop.now)
+        rpc.original = self.dedup.find(rpc, self.loop.now, self.loop.now - age)
         rpc.repeat = rpc.original is not None
         rpc.slot = self.rpcs.put(rpc)
         self.by_id[rpc.rid] = rpc.slot
