A new leader of work on machines offers no permission again before it has looked at the floor

Cause: six files of real processes abreast, twice, had one failure of six: test_a_cold_start_of_a_zone, a machine let go by its permission 3 while a zone was out. The run's folder is gone, so that it was not followed there. Found by reading: a leader that has just been chosen answers a report with a lease on whatever permission stands in the book, though it looks at the floor only 3 s later; the one before it died with the zone. In a test of the pure part it does just that. Ruled out by reading: a permission given anew (it looks at the floor first) and the old leader (it takes back what breaks the floor). That this was the cause of the row is therefore likely and not proved.

Change: offers begin with the first look at the floor of a reign. Result: test_a_new_leader_offers_nothing fails without the change and passes with it; test_upkeep, test_chance, test_cli and twice test_upkeep_service, five abreast, pass.

--- a/landingshift/upkeep/foreman.py
+++ b/landingshift/upkeep/foreman.py
@@ -74,6 +74,7 @@
         self.gone, self.names, self.wall, self.log = gone, names, wall, log
         self.reports: dict[str, Report] = {}
         self.since, self.led, self.look_at, self.now = 0.0, False, 0.0, 0.0
+        self.looked = False  # at the floor, in this reign
         self.peak, self.hopeless_at, self.looked_at = 0.0, -1e9, 0.0
         self.line = Line()
         self.quarter = -1  # of an hour of the day that is seen just now, and the most in it
@@ -85,7 +86,7 @@
         self.asked: dict[str, float] = {}  # proposals under way, by what and when
 
     def begin(self, now: float) -> None:
-        self.since, self.reports, self.peak = now, {}, 0.0
+        self.since, self.reports, self.peak, self.looked = now, {}, 0.0, False
         self.line, self.quarter, self.most, self.looked_at = Line(), -1, 0.0, now
         self.touched, self.rest, self.asked = Served(), Served(), {}
 
@@ -124,7 +125,9 @@
             return ["", 0, 0.0]
         self.follow(wish, report, now)
         may = wish.stage is Stage.PERMITTED and self.book.runs.get(wish.name) == run and not self.book.held
-        may = may and not self.asked.get(f"back {wish.name} {wish.number}")
+        # A new leader does not offer again what the one before it allowed, until it knows who is there: that
+        # may have gone with a zone.
+        may = may and self.looked and not self.asked.get(f"back {wish.name} {wish.number}")
         if may and not going:
             report.offered_at = now
         return [wish.stage.value, wish.number, self.plan.lasts if may else 0.0]
@@ -242,7 +245,7 @@
             return
         floor, lost = self.floor(), self.lost(now)
         out = {n: w.out() for n, w in wishes.items() if w.out() > 0.0} | lost
-        self.why = book.held or floor.broken(out)
+        self.why, self.looked = book.held or floor.broken(out), True
         if self.why:
             for name in taken_back(wishes, floor, lost) if not book.held else []:
                 self.asked.setdefault(f"back {name} {wishes[name].number}", now)
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -9,6 +9,7 @@
 from landingshift.lab.upkeep import VIRTUAL, Day, virtual
 from landingshift.upkeep.book import Book, command
 from landingshift.upkeep.floor import Floor, Machine, Needs
+from landingshift.upkeep.foreman import Foreman, Plan
 from landingshift.upkeep.forecast import QUARTER, WIDTH, Line, Shape, expected
 from landingshift.upkeep.order import dry_run, hopeless, least_ms, next_ones, rounds_left, taken_back
 from landingshift.upkeep.rings import Served, allowed, worse
@@ -181,6 +182,22 @@
             day.step()
         self.assertEqual(day.book.wishes, {})
 
+    def test_a_new_leader_offers_nothing_again_before_it_knows_who_is_there(self) -> None:
+        # Allowed by a leader that died with its zone: the next one offered it again at the first report.
+        book = Book()
+        book.apply(command("wish", [["n9", 0.5, 0.0, 1.0, 0.0, 1e18, False, ""]]))
+        book.apply(command("permit", "n9", 7, 0.0))
+        nobody: set[str] = set()
+        foreman = Foreman(
+            book, Plan(), lambda _: None, lambda _: True, lambda _: False, lambda: nobody, lambda: 1.0, print
+        )  # fmt: skip
+        foreman.step(0.0)
+        for now, lasts in [(10.0, 0.0), (2900.0, 0.0), (3400.0, 3000.0)]:
+            with self.subTest(now=now):
+                foreman.step(now)
+                told = foreman.hear(Machine("n9", 100.0), 7, [1.0, 0.0, 0, 0, 0.0, 0.0], now)
+                self.assertEqual(told, ["permitted", 1, lasts])
+
     def test_the_book_keeps_machines_and_forgets_those_that_the_fleet_forgot(self) -> None:
         day = Day(1, 12, zones=2, cold=1000.0)
         for _ in range(10):
