--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,11 +18,11 @@
     Engine,
     Gateway,
     Platform,
+    Roster,
     Run,
     Server,
     Try,
     call_body,
-    free_address,
     play,
     reply_body,
     small_deployment,
@@ -110,7 +110,7 @@
     engine.on_feed = on_feed
     database = Database(platform, engine, lambda: platform.rng.uniform(*CALL_MS))
     config = small_deployment(
-        platform, await engine.listen(), await database.listen(), free_address(), [CLIMB_GRADE]
+        platform, await engine.listen(), await database.listen(), await Roster.listen(platform), [CLIMB_GRADE]
     )
     server = Server(config)
     try:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -42,9 +42,9 @@
     return time.time() * 1000.0
 
 
-def free_address(kind: int = socket.SOCK_STREAM) -> tuple[str, int]:
+def free_address() -> tuple[str, int]:
     """Returns a loopback address whose port is free now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
         sock.bind((LOOPBACK, 0))
         return sock.getsockname()
 
@@ -408,6 +408,24 @@
             link.send(rpc_id, "ROWS", body=reply_body(body))
 
 
+class Roster(asyncio.DatagramProtocol):
+    """The roster: records the reports of the servers."""
+
+    def __init__(self, platform: Platform) -> None:
+        self.platform = platform
+
+    @classmethod
+    async def listen(cls, platform: Platform) -> tuple[str, int]:
+        """Listens at a free port; returns the address."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: cls(platform), local_addr=(LOOPBACK, 0))
+        return transport.get_extra_info("sockname")
+
+    def datagram_received(self, data: bytes, _address: Any) -> None:
+        """Records a report."""
+        self.platform.record.add("report", data.decode(errors="replace"))
+
+
 class Gateway(asyncio.Protocol):
     """One connection of a gateway to a server."""
 
@@ -478,19 +496,6 @@
             )
         return data, futures
 
-    def give_up(self, request: Try) -> None:
-        """Stops waiting for a try and tells the server so."""
-        for message_id, other in list(self.open.items()):
-            if other is request:
-                self.transport.write(msgpack.packb([2, "giveUp", [message_id]]))
-                self._end(message_id, request, "given_up")
-
-    def drop(self, request: Try) -> None:
-        """Stops waiting for a try without a word."""
-        for message_id, other in list(self.open.items()):
-            if other is request:
-                self._end(message_id, request, "dropped")
-
     def data_received(self, data: bytes) -> None:
         """Handles the answers."""
         if self.resets_on_answer:
@@ -540,8 +545,8 @@
     """The project's server, started with the command of the deploy file.
 
     Args:
-        config: The configuration, without the addresses of stand-ins.
-        log_path: The file for the server's log; none by default.
+        config: The configuration.
+        environment: Further environment variables; none by default.
     """
 
     def __init__(self, config: dict[str, Any], environment: dict[str, str] | None = None) -> None:
