Engine commands are typed; engine_ready logs the replies to calls that are in doubt

The log line engine_ready told how many commands were resent, but not of which kind, so it could not tell a resent reply (FEED) from a resent RUN or SKIP.

Change: EngineCommand has a kind (start the run, feed a reply, skip a call) in place of a flag, and is made by one function per kind in engine_commands.py. engine_ready has the new field replies_in_doubt: replies that were sent on the lost link and may have arrived. What is sent does not change. The stored command of a hot restart has the kind in place of the flag; readers can't ignore that, so FRAME_VERSION is 2.

--- a/landingshift/hot_restart/channel.py
+++ b/landingshift/hot_restart/channel.py
@@ -26,7 +26,7 @@
     TruncatedDescriptorsError,
 )
 
-FRAME_VERSION = 1
+FRAME_VERSION = 2
 FRAME_HEADER = struct.Struct("!HHHI")  # version, kind, number of descriptors, length of the body
 MAX_FRAME_DESCRIPTORS = 200  # the kernel's limit is 253 per message
 MAX_BODY_BYTES = 64 << 20
--- a/landingshift/hot_restart/state_export.py
+++ b/landingshift/hot_restart/state_export.py
@@ -201,7 +201,7 @@
             return None
         return StoredCommand(
             data=command.data,
-            starts_run=command.starts_run,
+            kind=command.kind,
             stream_end=command.stream_end,
             is_in_doubt=command.is_in_doubt,
             is_withheld=command.is_withheld,
--- a/landingshift/hot_restart/state_import.py
+++ b/landingshift/hot_restart/state_import.py
@@ -291,7 +291,7 @@
     return EngineCommand(
         rpc,
         stored.data,
-        starts_run=stored.starts_run,
+        stored.kind,
         stream_end=stored.stream_end,
         is_in_doubt=stored.is_in_doubt,
         is_withheld=stored.is_withheld,
--- a/landingshift/hot_restart/stored_state.py
+++ b/landingshift/hot_restart/stored_state.py
@@ -12,6 +12,8 @@
 
 from msgspec import Struct, field
 
+from landingshift.net.routing.engine_commands import CommandKind
+
 RPC_RECORD_NAMES = {
     "rid": "rpc_id",
     "name": "method_name",
@@ -110,14 +112,14 @@
 
     Attributes:
         data: The encoded command.
-        starts_run: Whether it starts the RPC's run.
+        kind: What it asks the engine to do.
         stream_end: The offset in the link's output stream at which it ends; -1 before it is written.
         is_in_doubt: Whether it was sent on a link that broke, so that it may have arrived.
         is_withheld: Whether it is not resent until the RPC is answered or abandoned.
     """
 
     data: bytes
-    starts_run: bool
+    kind: CommandKind
     stream_end: int
     is_in_doubt: bool
     is_withheld: bool
--- a/landingshift/net/routing/actions.py
+++ b/landingshift/net/routing/actions.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 
 from landingshift.admission.interface import LoadAdvertisement, Outcome, Rpc, Settings
-from landingshift.net.protocol import engine as engine_wire
 from landingshift.net.protocol import gateway as gateway_wire
 from landingshift.net.routing.answers import AnswerWriter
 from landingshift.net.routing.check_runner import CheckRunner
 from landingshift.net.routing.database_pool import DatabasePool
 from landingshift.net.routing.dedup import DedupTable
 from landingshift.net.routing.duplicates import DuplicateResolver
+from landingshift.net.routing.engine_commands import skip_call_command, start_run_command
 from landingshift.net.routing.engine_link import EngineLink
 from landingshift.net.routing.gateways import Gateways
 from landingshift.net.routing.health import HealthReporter
@@ -63,8 +63,7 @@
         """Sends the engine the command to run the RPC."""
         assert isinstance(rpc, RoutedRpc)
         self.observers.notify("on_started", rpc)
-        command = engine_wire.encode_run(rpc.rpc_id, rpc.method_name, rpc.body)
-        self.engine.send_command(rpc, command, starts_run=True)
+        self.engine.send_command(start_run_command(rpc))
 
     def cancel_run(self, rpc: Rpc) -> None:
         """Asks the engine to cancel the RPC's run."""
@@ -83,8 +82,7 @@
     def skip_call(self, rpc: Rpc) -> None:
         """Tells the engine to continue the RPC's run without the database call that the run asked for."""
         assert isinstance(rpc, RoutedRpc)
-        command = engine_wire.encode_skip_call(rpc.rpc_id, rpc.call_notice_number)
-        self.engine.send_command(rpc, command)
+        self.engine.send_command(skip_call_command(rpc))
 
     # Answers
 
--- a/landingshift/net/routing/database_events.py
+++ b/landingshift/net/routing/database_events.py
@@ -5,8 +5,8 @@
 from functools import partial
 
 from landingshift.admission.interface import Outcome
-from landingshift.net.protocol import engine as engine_wire
 from landingshift.net.routing.admission_driver import AdmissionDriver
+from landingshift.net.routing.engine_commands import feed_reply_command
 from landingshift.net.routing.engine_link import EngineLink
 from landingshift.net.routing.observers import RpcObservers
 from landingshift.net.routing.rpc_record import RoutedRpc
@@ -32,5 +32,5 @@
         if rpc.is_closed or rpc.managed is None or rpc.is_answered or rpc.is_abandoned:
             return
         if outcome is Outcome.OK:
-            self.engine.send_command(rpc, engine_wire.encode_call_reply(rpc.rpc_id, reply))
+            self.engine.send_command(feed_reply_command(rpc, reply))
         self.driver.controller_for_event().on_call_finished(rpc.managed, outcome, elapsed_ms)
--- a/landingshift/net/routing/engine_commands.py
+++ b/landingshift/net/routing/engine_commands.py
@@ -11,18 +11,32 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from landingshift.admission.interface import Idempotency
+from landingshift.net.protocol import engine as wire
 from landingshift.net.routing.rpc_record import RoutedRpc
 
 
+class CommandKind(Enum):
+    """What a command asks the engine to do. The numeric values are stored."""
+
+    START_RUN = 1
+    """Start the RPC's run. The engine ignores the command while the run is in progress."""
+    FEED_REPLY = 2
+    """Pass the reply to a database call to the run. The command does not say which call the reply is for."""
+    SKIP_CALL = 3
+    """Continue the run without the call that a notice asked for. The command names the notice, so it has no
+    effect on any other call of the run."""
+
+
 @dataclass(slots=True, eq=False)
 class EngineCommand:
     """A command for an RPC. The command is tracked until the engine has confirmed it."""
 
     rpc: RoutedRpc
     data: bytes
-    starts_run: bool  # True for a command that starts the RPC's run
+    kind: CommandKind
     stream_end: int = -1  # offset in the link's output stream at which the command ends; -1 if not written
     is_in_doubt: bool = False  # sent on a link that broke, so the engine might have received it
     is_withheld: bool = False  # not resent until the RPC is answered or abandoned
@@ -36,7 +50,47 @@
         Resending counts as safe if the RPC is idempotent or already answered.
         """
         may_run_again = self.rpc.method.idempotency is Idempotency.IDEMPOTENT or self.rpc.is_answered
-        return self.starts_run and self.is_in_doubt and not may_run_again
+        return self.kind is CommandKind.START_RUN and self.is_in_doubt and not may_run_again
+
+    @property
+    def is_reply_in_doubt(self) -> bool:
+        """Return whether the command passes a reply to a run that might have received it already."""
+        return self.kind is CommandKind.FEED_REPLY and self.is_in_doubt
+
+
+def start_run_command(rpc: RoutedRpc) -> EngineCommand:
+    """Returns the command that starts the RPC's run."""
+    return EngineCommand(rpc, wire.encode_run(rpc.rpc_id, rpc.method_name, rpc.body), CommandKind.START_RUN)
+
+
+def feed_reply_command(rpc: RoutedRpc, reply: bytes) -> EngineCommand:
+    """Returns the command that passes the reply to the latest database call of the RPC's run to the run."""
+    return EngineCommand(rpc, wire.encode_call_reply(rpc.rpc_id, reply), CommandKind.FEED_REPLY)
+
+
+def skip_call_command(rpc: RoutedRpc) -> EngineCommand:
+    """Returns the command that continues the RPC's run without the latest database call of the run."""
+    data = wire.encode_skip_call(rpc.rpc_id, rpc.call_notice_number)
+    return EngineCommand(rpc, data, CommandKind.SKIP_CALL)
+
+
+def known_query_command(rpc: RoutedRpc, on_known: Callable[[], None]) -> EngineCommand:
+    """Returns the query whether the engine knows the RPC; see `EngineLink.query_known`."""
+    data = wire.encode_skip_call(rpc.rpc_id, wire.NO_NOTICE_NUMBER)
+    return EngineCommand(rpc, data, CommandKind.SKIP_CALL, on_known=on_known)
+
+
+@dataclass(frozen=True, slots=True)
+class ResendCounts:
+    """The number of unconfirmed commands when a new link became ready.
+
+    Attributes:
+        open: Commands that the engine might not have received, including those that are not resent.
+        replies_in_doubt: Replies to database calls among them that the engine might have received.
+    """
+
+    open: int
+    replies_in_doubt: int
 
 
 class UnconfirmedCommands:
@@ -81,19 +135,17 @@
             command.is_in_doubt = command.is_in_doubt or 0 <= command.stream_end <= sent_bytes
             command.stream_end = -1
 
-    def withhold(self) -> int:
+    def prepare_resend(self) -> ResendCounts:
         """Reduces the queue to the commands that are to be resent on a new link.
 
         Replaced and forgotten commands are dropped. Commands that are unsafe to resend become withheld.
-
-        Returns:
-            The number of commands that were not dropped, including those that became withheld.
         """
         open_commands = [command for command in self.queue if self.latest.get(command.rpc) is command]
         for command in open_commands:
             command.is_withheld = command.is_unsafe_to_resend
         self.queue = deque(command for command in open_commands if not command.is_withheld)
-        return len(open_commands)
+        replies_in_doubt = sum(command.is_reply_in_doubt for command in open_commands)
+        return ResendCounts(len(open_commands), replies_in_doubt)
 
     def has_written(self) -> bool:
         """Return whether any command in the queue was written on the present link."""
--- a/landingshift/net/routing/engine_link.py
+++ b/landingshift/net/routing/engine_link.py
@@ -14,7 +14,12 @@
 
 from landingshift.net.protocol import engine as wire
 from landingshift.net.protocol.lines import ProtocolError
-from landingshift.net.routing.engine_commands import EngineCommand, UnconfirmedCommands
+from landingshift.net.routing.engine_commands import (
+    EngineCommand,
+    UnconfirmedCommands,
+    known_query_command,
+    start_run_command,
+)
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.transport.loop import Loop, Timer
 from landingshift.net.transport.stream import Address, Stream, connect
@@ -319,13 +324,11 @@
         self.self_tests[tag] = answer
         self.stream.write(wire.encode_self_test(tag))
 
-    def send_command(self, rpc: RoutedRpc, data: bytes, starts_run: bool = False) -> EngineCommand:
-        """Sends a command for an RPC as soon as the link is ready; returns the command."""
-        command = EngineCommand(rpc, data, starts_run)
+    def send_command(self, command: EngineCommand) -> None:
+        """Sends a command for an RPC as soon as the link is ready."""
         self.commands.add(command)
         if self.is_ready:
             self._write(command)
-        return command
 
     def halt(self, rpc: RoutedRpc) -> None:
         """Asks the engine to cancel the RPC's run. The controller repeats this until the run has ended."""
@@ -343,8 +346,7 @@
             rpc: The RPC in question.
             on_known: Called if the engine knows the RPC.
         """
-        command = self.send_command(rpc, wire.encode_skip_call(rpc.rpc_id, wire.NO_NOTICE_NUMBER))
-        command.on_known = on_known
+        self.send_command(known_query_command(rpc, on_known))
         self.query_gauges()
 
     def send_withheld(self, rpc: RoutedRpc) -> None:
@@ -356,7 +358,7 @@
         """
         command = self.commands.latest.get(rpc)
         if command is not None and command.is_withheld:
-            self.send_command(rpc, command.data, starts_run=True)
+            self.send_command(start_run_command(rpc))
 
     def _write(self, command: EngineCommand) -> None:
         if self.stream is not None:
@@ -366,12 +368,13 @@
     def _resend(self) -> None:
         """Marks the link as ready and resends the unconfirmed commands that are not withheld."""
         self.is_ready = True
-        open_count = self.commands.withhold()
+        counts = self.commands.prepare_resend()
         for command in self.commands.queue:
             self._write(command)
         self.log(
             "engine_ready",
             link=self.link_count,
             said_again=len(self.commands.queue),
-            of=open_count,
+            of=counts.open,
+            replies_in_doubt=counts.replies_in_doubt,
         )
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,6 +14,7 @@
 
 from landingshift.admission.interface import Idempotency
 from landingshift.net.program.config import ServerConfigError, decode_config
+from landingshift.net.routing.engine_commands import CommandKind, EngineCommand
 from landingshift.net.routing.engine_link import EngineLink
 from landingshift.net.transport.loop import Loop
 from tests.helpers import CONFIG, EngineStandIn, GatewayClient, ProgramUnderTest, launch_program, wait_until
@@ -135,7 +136,8 @@
         stream = link.stream
         assert stream is not None
         self.addCleanup(stream.sock.close)
-        link.send_command(object(), b"RUN a m 0\r\n\r\n", starts_run=True)  # type: ignore[arg-type]
+        rpc: Any = object()
+        link.send_command(EngineCommand(rpc, b"RUN a m 0\r\n\r\n", CommandKind.START_RUN))
         link.change_address(second_address)
         link.change_address(first_address)
         self.assertEqual((link.stream is stream, stream.is_open, link.address), (True, True, first_address))
