A reply to a database call that may have arrived is never sent to the engine again

Cause: after a break of the engine link, the answer to the STAT that follows ATTACH was taken as proof that a command without a notice had not arrived. A run that is still working sends no notice. EngineLink resent the FEED, which names the RPC and not the call; a run that had asked for its next call by then took it for that. Excluded: late or repeated replies of the database (no call had two), repeated notices, a wrong order within a call (0 without breaks).

Change: a reply in doubt is not resent. If the method's call can be skipped, SKIP with the number of that call's notice is sent: it lets the run continue if the reply was lost, and has no effect if it arrived. Otherwise nothing is sent. A reply that can't have arrived is resent as before. It works because no command that stays in doubt can match another call: SKIP names the notice, RUN a run that happens once.

--- a/landingshift/admission/downstream_calls.py
+++ b/landingshift/admission/downstream_calls.py
@@ -120,7 +120,7 @@
             managed: The RPC that waits for a call slot.
             position: Its position in the order in which slots are assigned, from 1.
         """
-        if managed.rpc.method.degraded_value_fraction <= 0:
+        if not managed.rpc.method.can_skip_call:
             return False
         waited_ms = self._server.now_ms - managed.call_started_at_ms
         wait_ms = max(waited_ms, position * 1000.0 / self.rate.calls_per_second)
--- a/landingshift/admission/interface.py
+++ b/landingshift/admission/interface.py
@@ -105,6 +105,11 @@
     degraded_value_fraction: float
     """Fraction of the value that remains if the run skips its downstream call; 0 if the call is required."""
 
+    @property
+    def can_skip_call(self) -> bool:
+        """Return whether a run may continue without its downstream call."""
+        return self.degraded_value_fraction > 0.0
+
 
 @dataclass(slots=True, eq=False)
 class Tenant:
--- a/landingshift/admission/rpc_lifecycle.py
+++ b/landingshift/admission/rpc_lifecycle.py
@@ -159,7 +159,7 @@
                     event = RpcEvent.CALL_DENIED
             if event is not RpcEvent.CALL_DENIED:
                 return event
-            if managed.rpc.method.degraded_value_fraction > 0:
+            if managed.rpc.method.can_skip_call:
                 return (yield RpcState.CALL_SKIPPED)
             return RpcEvent.DEADLINE_REACHED
 
--- a/landingshift/net/routing/duplicates.py
+++ b/landingshift/net/routing/duplicates.py
@@ -102,7 +102,7 @@
         has_result = entry.has_result
         connection = self.connections.get(rpc.connection)
         if has_result and connection is not None and not connection.is_verified:
-            if rpc.method.degraded_value_fraction > 0.0:
+            if rpc.method.can_skip_call:
                 self.engine.query_known(rpc, partial(self._on_known, rpc, entry))
                 return
             if not is_last_chance:
--- a/landingshift/net/routing/engine_commands.py
+++ b/landingshift/net/routing/engine_commands.py
@@ -4,6 +4,12 @@
 Guarantee: a run command is withheld if it is in doubt and the effect of its RPC must not happen twice. A
 withheld command is not resent until the RPC is answered or abandoned. The RPC might therefore be aborted
 although it never ran.
+
+Guarantee: a run never gets the reply to one database call as the reply to another. The command that passes a
+reply to a run does not say which call the reply is for. If the run has received the reply and asks for its
+next call, it would take a resent reply for the reply to that call, so a reply in doubt is never resent. The
+run continues without the call if the reply was lost and the call can be skipped. If the call is required, the
+RPC of a lost reply is aborted at its deadline.
 """
 
 from __future__ import annotations
@@ -136,17 +142,33 @@
             command.stream_end = -1
 
     def prepare_resend(self) -> ResendCounts:
-        """Reduces the queue to the commands that are to be resent on a new link.
+        """Reduces the queue to the commands that are to be sent on a new link.
 
         Replaced and forgotten commands are dropped. Commands that are unsafe to resend become withheld.
+        Replies in doubt are replaced by commands that skip their calls, or dropped if their calls are
+        required.
         """
         open_commands = [command for command in self.queue if self.latest.get(command.rpc) is command]
+        self.queue.clear()
         for command in open_commands:
+            if command.is_reply_in_doubt:
+                self._replace_reply(command)
+                continue
             command.is_withheld = command.is_unsafe_to_resend
-        self.queue = deque(command for command in open_commands if not command.is_withheld)
+            if not command.is_withheld:
+                self.queue.append(command)
         replies_in_doubt = sum(command.is_reply_in_doubt for command in open_commands)
         return ResendCounts(len(open_commands), replies_in_doubt)
 
+    def _replace_reply(self, reply: EngineCommand) -> None:
+        """Replaces a reply in doubt by the command that skips its call; drops it if the call is required.
+
+        The replacement has no effect on a run that has received the reply, because it names the call.
+        """
+        self.forget(reply.rpc)
+        if reply.rpc.method.can_skip_call:
+            self.add(skip_call_command(reply.rpc))
+
     def has_written(self) -> bool:
         """Return whether any command in the queue was written on the present link."""
         return any(command.stream_end >= 0 for command in self.queue)
--- a/landingshift/net/routing/engine_link.py
+++ b/landingshift/net/routing/engine_link.py
@@ -2,8 +2,9 @@
 
 A notice is a numbered message from the engine about a run. A gauge query asks the engine for its gauges, such
 as core utilization. Guarantee: a command counts as confirmed once the engine has answered a gauge query that
-was written after the command. After a reconnect, unconfirmed commands are resent, except withheld commands.
-A withheld command would start a run that must not be repeated and that the engine might have completed.
+was written after the command. After a reconnect, unconfirmed commands are resent, except withheld commands
+and replies to database calls that the run might have received. A withheld command would start a run that must
+not be repeated and that the engine might have completed.
 """
 
 from __future__ import annotations
@@ -70,7 +71,7 @@
 
     A command is in doubt if it was sent on a link that broke, since the engine might have received it. A run
     command in doubt is withheld if resending it could repeat the effect of its RPC. A withheld command is not
-    resent until the RPC is answered or abandoned.
+    resent until the RPC is answered or abandoned. A reply to a database call in doubt is never resent.
 
     Args:
         address: The address at which the engine listens.
@@ -271,7 +272,8 @@
             self.has_reached_engine = True
             self.events.on_engine_up(hello)
         # Before the engine answers this query, it sends the notices that were missed while there was no link.
-        # Until the answer arrives, it is not known which commands must be resent.
+        # Until the answer arrives, it is not known which commands must be resent. A command without a notice
+        # may have arrived all the same: a run that is still working sends none.
         self.query_gauges()
 
     def _on_gauge_report(self, report: wire.GaugeReport) -> None:
@@ -366,7 +368,7 @@
             command.stream_end = self.stream.queued_bytes
 
     def _resend(self) -> None:
-        """Marks the link as ready and resends the unconfirmed commands that are not withheld."""
+        """Marks the link as ready and resends the unconfirmed commands that are safe to resend."""
         self.is_ready = True
         counts = self.commands.prepare_resend()
         for command in self.commands.queue:
--- a/tests/test_state_transfer.py
+++ b/tests/test_state_transfer.py
@@ -112,6 +112,26 @@
         table = harness.router.table
         self.assertEqual((len(table.slots), len(table.slot_by_id)), (0, 0))
 
+    def test_reply_in_doubt_is_not_resent_after_a_transfer(self) -> None:
+        # Guards against a run that takes the reply to one call for the reply to its next call.
+        harness = self.harness
+        harness.connect_gateway().sendall(harness.request("m", b"calls"))
+        harness.next_command()
+        harness.engine.send(b"NEED 1 %016x 4\r\nbody\r\n" % 1)
+        database = harness.accept_database_link()
+        harness.run_until_readable(database)
+        database.send(b"%016x ROWS 5\r\nreply\r\n" % 1)
+        self.assertEqual(harness.next_command(), (["FEED", f"{1:016x}"], b"reply"))
+        harness.engine.sock.close()
+        harness.run()
+        harness.move()
+        harness.run_until_readable(harness.engine_listener)
+        harness.engine = harness.peer(harness.engine_listener.accept()[0])
+        self.assertEqual(harness.next_command(), (["ATTACH", "1"], b""))
+        harness.engine.send(b"HELLO old 60000\r\n")
+        self.assertEqual(harness.next_command(), (["SKIP", f"{1:016x}", "1"], b""))
+        self.assertEqual(harness.faults, [])
+
     def test_deadlines_and_draining_continue_after_a_transfer(self) -> None:
         # An import that restarted the waiting time would answer at 1,400 ms. The bound of 1,200 ms is below
         # that, and far enough above the deadline of 800 ms that a busy machine does not fail the test.
