--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -1,4 +1,4 @@
-"""Tests the commands to the engine whose arrival is unknown after the engine link has broken."""
+"""Tests the link to the engine: breaks, silence, and commands whose arrival is unknown after a break."""
 
 from __future__ import annotations
 
@@ -41,6 +41,95 @@
     )
 
 
+class EngineLinkTest(unittest.TestCase):
+    def test_rpcs_are_rejected_until_the_engine_is_ready(self) -> None:
+        program = ProgramUnderTest(self, engine=False)
+        link = EngineStandIn(program, hello="")
+        self.assertEqual(link.attach_command, ["ATTACH", "0"])
+        gateway = GatewayClient(program)
+        self.assertEqual(gateway.check_health()[0], True)
+        self.assertEqual(gateway.check_health(deep="1")[0], False)  # the engine can't do work yet
+        message_id = gateway.send_rpc()
+        self.assertEqual(gateway.read_answer(), (message_id, "Busy"))
+        link.send_notice("HELLO new 10")
+        self.assertEqual(program.wait_for_log("engine_link")["cold"], True)
+        message_id = gateway.send_rpc()
+        link.expect_command("RUN", gateway.last_rpc_id)
+        self.assertEqual(program.roster.recv(100), b"HERE n3 on")
+        self.assertEqual(gateway.check_health(deep="1")[0], True)
+
+    def test_runs_continue_after_the_engine_link_is_reconnected(self) -> None:
+        program = ProgramUnderTest(self)
+        gateway = GatewayClient(program)
+        message_ids = []
+        for _ in range(3):
+            message_ids.append(gateway.send_rpc())
+            program.engine.expect_command("RUN", gateway.last_rpc_id)
+        ended_id, calling_id, resent_id = message_ids
+        program.engine.send_notice("NEED 1", f"{2:016x}", body=b"q")
+        db = program.accept_database_link()
+        self.assertEqual(db.read_line()[1], b"q")
+        program.engine.sock.close()
+        program.wait_for_log("engine_link_lost")
+        during_outage = [gateway.send_rpc("once"), gateway.send_rpc("token", once="1"), gateway.send_rpc()]
+        db.send(b"%016x ROWS 2\r\nok\r\n" % 2)
+        self.assertEqual(gateway.check_health()[0], True)
+        link = EngineStandIn(program)
+        self.assertEqual(link.attach_command, ["ATTACH", "1"])
+        link.send_notice("NEED 1", f"{2:016x}", body=b"q")  # repeated: must not cause a second call
+        link.send_notice("DONE 2", f"{1:016x}", "good 7", body=b"while away")
+        link.send_notice("NOTE 3 anything at all")
+        link.send_notice("DONE 2", f"{1:016x}", "good 7", body=b"again")
+        commands = [link.next_command() for _ in range(5)]
+        # Commands for RPCs that may run again are resent; those that were issued during the outage follow.
+        self.assertEqual(
+            sorted((words[0], int(words[1], 16)) for words, _ in commands),
+            [("FEED", 2), ("RUN", 3), ("RUN", 4), ("RUN", 5), ("RUN", 6)],
+        )
+        for notice_number, i in enumerate((2, 3, 4, 5, 6), 4):
+            link.send_notice("DONE", notice_number, f"{i:016x}", "good 7", body=b"r")
+        answers = [gateway.read_answer() for _ in range(6)]
+        self.assertEqual(answers[0], (ended_id, b"while away"))
+        self.assertEqual(sorted(answers[1:]), [(n, b"r") for n in (calling_id, resent_id, *during_outage)])
+
+    def test_non_idempotent_run_that_may_have_happened_is_not_retried(self) -> None:
+        program = ProgramUnderTest(self)
+        gateway = GatewayClient(program)
+        message_id = gateway.send_rpc("once", wait="900")
+        program.engine.expect_command("RUN", gateway.last_rpc_id)
+        program.engine.sock.close()
+        link = EngineStandIn(program)
+        # Sent only after the RPC is answered, to learn how the run ended.
+        link.expect_command("RUN", gateway.last_rpc_id)
+        self.assertEqual(gateway.read_answer(), (message_id, "Failed"))
+        link.send_notice("DONE 1", gateway.last_rpc_id, "gone 0 0")
+        other_id = gateway.send_rpc("once")
+        link.expect_command("RUN", gateway.last_rpc_id)
+        link.send_notice("DONE 2", gateway.last_rpc_id, "good 3", body=b"r")
+        self.assertEqual(gateway.read_answer(), (other_id, b"r"))
+
+    def test_silent_engine_link_is_closed_and_reconnected(self) -> None:
+        program = ProgramUnderTest(self)
+        gateway = GatewayClient(program)
+        message_id = gateway.send_rpc(wait="9000")
+        program.engine.expect_command("RUN", gateway.last_rpc_id)
+        self.assertEqual(program.wait_for_log("engine_link_lost")["reason"], "silent")
+        link = EngineStandIn(program)
+        link.send_notice("DONE 1", gateway.last_rpc_id, "good 3", body=b"r")
+        self.assertEqual(gateway.read_answer(), (message_id, b"r"))
+
+    def test_malformed_notice_closes_the_engine_link(self) -> None:
+        program = ProgramUnderTest(self)
+        for i, data in enumerate(
+            [b"DONE x y\r\n", b"?" * 600, b"NEED 1 aa 99999999\r\n", b"DONE 1 a good x 0\r\n"]
+        ):
+            with self.subTest(data=data[:20]):
+                program.engine.send(data)
+                self.assertTrue(program.engine.is_closed_by_program())
+                program.engine = EngineStandIn(program)
+                self.assertEqual(program.engine.attach_command, ["ATTACH", "0"], i)
+
+
 class UnconfirmedCommandsTest(unittest.TestCase):
     def resent_after_link_loss(self, command: EngineCommand, stream_end: int) -> list[bytes]:
         """Returns what is sent on a new link if the command ended at `stream_end` on the lost one."""
