Frame versions are literals in the test again, one test is named by what it checks

Need: read once more, the test of invalid frames took the version from the constant, so that a version changed by accident would no longer be noticed; a test's name said the opposite of what it checks at first reading. Change: the literals are back (2 is this build's), and version 1, that of the build before, must be refused as well, which was not asked before. test_run_in_doubt_is_withheld_if_its_effect_must_not_happen_twice has its name from its check. No program code changes.

--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -169,7 +169,7 @@
         resent = self.resent_after_link_loss(skip_call_command(routed_rpc()), SENT_BYTES)
         self.assertEqual(resent, [SKIP_DATA])
 
-    def test_run_in_doubt_is_resent_if_its_effect_cannot_be_repeated(self) -> None:
+    def test_run_in_doubt_is_withheld_if_its_effect_must_not_happen_twice(self) -> None:
         for idempotency, is_answered in product(Idempotency, (True, False)):
             with self.subTest(idempotency=idempotency, is_answered=is_answered):
                 command = start_run_command(routed_rpc(idempotency=idempotency, is_answered=is_answered))
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -13,13 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from landingshift.hot_restart.channel import (
-    FRAME_HEADER,
-    FRAME_VERSION,
-    MAX_FRAME_DESCRIPTORS,
-    Channel,
-    Frame,
-)
+from landingshift.hot_restart.channel import FRAME_HEADER, MAX_FRAME_DESCRIPTORS, Channel, Frame
 from landingshift.hot_restart.errors import InvalidFrameError, JournalFullError
 from landingshift.hot_restart.request_journal import RecordKind, RequestJournal
 from landingshift.hot_restart.state_machine import (
@@ -223,10 +217,11 @@
     def test_rejects_invalid_frames_and_leaks_no_descriptors(self) -> None:
         open_count_before = len(os.listdir("/proc/self/fd"))
         for header in [
-            FRAME_HEADER.pack(FRAME_VERSION + 1, 1, 0, 0),
-            FRAME_HEADER.pack(FRAME_VERSION, 1, MAX_FRAME_DESCRIPTORS + 1, 0),
-            FRAME_HEADER.pack(FRAME_VERSION, 1, 0, 1 << 31),
-            FRAME_HEADER.pack(FRAME_VERSION, 1, 3, 0),
+            FRAME_HEADER.pack(1, 1, 0, 0),  # the previous version
+            FRAME_HEADER.pack(3, 1, 0, 0),
+            FRAME_HEADER.pack(2, 1, MAX_FRAME_DESCRIPTORS + 1, 0),
+            FRAME_HEADER.pack(2, 1, 0, 1 << 31),
+            FRAME_HEADER.pack(2, 1, 3, 0),
         ]:
             with self.subTest(header=header):
                 sender, receiver, sending_socket = self.connect()
