A pass of the loop that takes over 100 ms is logged as slow_pass

Change: Loop.on_slow_pass is called with the duration of a pass, without the wait for sockets, if it is over SLOW_PASS_MS; the program logs it.

--- a/landingshift/net/program/main.py
+++ b/landingshift/net/program/main.py
@@ -37,6 +37,7 @@
     """
     log = EventLog(sys.stdout.fileno())
     loop = Loop(lambda: log("fault", trace=traceback.format_exc(limit=-MAX_TRACE_FRAMES)))
+    loop.on_slow_pass = lambda duration_ms: log("slow_pass", ms=round(duration_ms))
     signals = SignalWatcher(loop)
     try:
         config = load_config(os.environ)
--- a/landingshift/net/transport/loop.py
+++ b/landingshift/net/transport/loop.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 LATE_TIMER_MS = 5.0  # a timer that is overdue by more than this indicates that the process was paused
+SLOW_PASS_MS = 100.0  # a pass that takes longer, without the wait for sockets, is reported
 MAX_CATCH_UP_READS = 16  # maximum number of `read` calls after a pause, before timers fire
 MAX_WAIT_MS = 1000.0  # maximum wait for sockets if there is no timer
 MIN_CANCELLED_TIMERS = 64  # with fewer cancelled timers the heap is not compacted
@@ -50,6 +51,7 @@
 
     Attributes:
         now_ms: The monotonic time of the last `read` call; handlers use it as the current time.
+        on_slow_pass: Called with the duration of a pass that took longer than `SLOW_PASS_MS`.
         read_count: The number of `read` calls.
         pending_writers: The writers with output to write at the end of the pass, in order.
         settle: A hook that is called once in each pass, after all handlers and before the output is written.
@@ -66,6 +68,7 @@
         self.on_fault = on_fault
         self.is_running = True
         self.settle: Callable[[], None] = lambda: None
+        self.on_slow_pass: Callable[[float], None] = lambda _duration_ms: None
         self.now_ms = self.clock_ms()
 
     @staticmethod
@@ -120,6 +123,7 @@
         """Waits for sockets or the next timer, calls handlers and then `settle`, and writes the output."""
         wait_ms = max(0.0, self.timers[0][0] - self.clock_ms()) if self.timers else MAX_WAIT_MS
         self.read(wait_ms)
+        began_ms = self.now_ms
         if self.timers and self.now_ms - self.timers[0][0] > LATE_TIMER_MS:
             self._catch_up()
         self._fire_timers()
@@ -129,6 +133,9 @@
             self.pending_writers = {}
             for writer in writers:
                 self._run_guarded(writer.flush)
+        duration_ms = self.clock_ms() - began_ms
+        if duration_ms > SLOW_PASS_MS:
+            self.on_slow_pass(duration_ms)
 
     def _catch_up(self) -> None:
         """Reads input that arrived during a pause of the process, so that no timer treats it as missing."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 import os
 import socket
 import struct
+import time
 import traceback
 import unittest
 from dataclasses import replace
@@ -19,7 +20,7 @@
 from landingshift.net.routing.engine_link import EngineLink
 from landingshift.net.routing.health import HealthReporter
 from landingshift.net.routing.rpc_record import RoutedRpc
-from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.loop import SLOW_PASS_MS, Loop
 from landingshift.net.transport.slots import Slots
 from tests.helpers import BLANK, METHOD
 
@@ -67,6 +68,21 @@
         loop.selector.close()
 
 
+class SlowPassTest(unittest.TestCase):
+    def test_only_passes_that_take_long_after_the_wait_for_sockets_are_reported(self) -> None:
+        durations_ms: list[float] = []
+        loop = Loop(lambda: self.fail("a handler raised"))
+        self.addCleanup(loop.selector.close)
+        loop.on_slow_pass = durations_ms.append
+        loop.after(1.5 * SLOW_PASS_MS, lambda: None)
+        loop.run_pass()  # waits for the timer
+        self.assertEqual(durations_ms, [])
+        loop.after(0.0, lambda: time.sleep(1.5 * SLOW_PASS_MS / 1000.0))
+        loop.run_pass()
+        self.assertEqual(len(durations_ms), 1)
+        self.assertGreater(durations_ms[0], SLOW_PASS_MS)
+
+
 class DecodersTest(unittest.TestCase):
     def test_engine_lines_decode_the_same_at_once_and_byte_by_byte(self) -> None:
         run_ended = engine.RunEnded(7, b"aa", Outcome.OK, 1.5, b"a\r\nb")
