A token's window counts from its arrival, also if the process is paused while it is read

Cause: two readings of clocks were taken for readings of one moment. Loop.now_ms was read after the poll, the age of a request from the Unix clock later in the pass. With a pause in between, now_ms less the age is an arrival that is too early by the length of the pause, and so are the end of the window and the arrival that a drain compares. Change: the stated arrival is converted with the difference of both clocks at one moment (unix_offset_ms); now_ms is read again after each receipt of input and before the controller decides. Timers keep to the time of the poll, and the sockets are polled again first if it is over 50 ms old. No time depends any more on two readings being of one moment, so a pause may lie between any two. Tests: tests/test_pauses.py pauses before each reading of a pass.

--- a/landingshift/membership/service.py
+++ b/landingshift/membership/service.py
@@ -145,6 +145,7 @@
                 data = self._socket.recv(wire.MAX_DATAGRAM_BYTES + 1)
             except OSError:  # no datagram is left, or an earlier send failed asynchronously
                 break
+            self._loop.update_now()
             self._on_datagram(data)
         self.flush_outgoing()
 
--- a/landingshift/net/program/signals.py
+++ b/landingshift/net/program/signals.py
@@ -46,7 +46,9 @@
 
     def on_ready(self, _mask: int) -> None:
         """Delivers the received signals; several signals with the same number are delivered once."""
-        for number in sorted(set(self.reader.recv(MAX_SIGNALS_PER_READ))):
+        numbers = sorted(set(self.reader.recv(MAX_SIGNALS_PER_READ)))
+        self.loop.update_now()
+        for number in numbers:
             received_ms = self.received_ms.pop(number, self.loop.now_ms)
             if self.on_signal is not None:
                 self.on_signal(number, received_ms)
--- a/landingshift/net/routing/request_validation.py
+++ b/landingshift/net/routing/request_validation.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 
 from landingshift.admission.interface import Idempotency, Method, Tenant
@@ -16,6 +15,8 @@
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.routing.rpc_table import RpcTable
 from landingshift.net.routing.server_config import ServerConfig
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.unix_time import unix_offset_ms
 
 MAX_AGE_MS = 120_000.0  # maximum time since the request arrived at the machine
 MAX_CLOCK_LEAD_MS = 5_000.0  # maximum time by which the stated arrival can be ahead of this server's clock
@@ -28,14 +29,21 @@
 
 @dataclass(slots=True)
 class CheckedRequest:
-    """A valid request with its decoded fields and its times."""
+    """A valid request with its decoded fields and its times, by the loop's clock."""
 
     method: Method
     tenant: Tenant | None
     fields: wire.RequestFields
-    age_ms: float  # time since the request's arrival at the machine
-    wait_ms: float  # total time for which the caller waits
-    remaining_ms: float | None  # time for which the caller still waits; None if callers do not send it
+    read_ms: float  # time at which the request was read
+    arrived_ms: float  # time at which the request arrived at the machine; at most `read_ms`
+    wait_ms: float  # total time for which the caller waits, from the arrival
+    # Time for which the caller still waits when the request is read; None if callers do not send it.
+    remaining_ms: float | None
+
+    @property
+    def age_ms(self) -> float:
+        """Return the time from the request's arrival until it was read."""
+        return self.read_ms - self.arrived_ms
 
 
 class RequestValidator:
@@ -46,7 +54,8 @@
             no such field is configured.
     """
 
-    def __init__(self, config: ServerConfig, table: RpcTable) -> None:
+    def __init__(self, loop: Loop, config: ServerConfig, table: RpcTable) -> None:
+        self.loop = loop
         self.config = config
         self.table = table
         self.attempt_id_field = ""
@@ -78,22 +87,22 @@
     ) -> CheckedRequest:
         """Check the age of the request and the wait of its caller; return the checked request.
 
-        If the request does not state how long its caller waits, the method's deadline is used instead.
+        If the request does not state how long its caller waits, the method's deadline is used instead. The
+        times are independent of the moment of this check, since the process can be paused before it.
         """
-        now_unix_ms = time.time() * 1000.0
-        if not now_unix_ms - MAX_AGE_MS < fields.arrived_unix_ms < now_unix_ms + MAX_CLOCK_LEAD_MS:
+        read_ms = self.loop.now_ms
+        arrived_ms = fields.arrived_unix_ms - unix_offset_ms()
+        if not read_ms - MAX_AGE_MS < arrived_ms < read_ms + MAX_CLOCK_LEAD_MS:
             raise wire.InvalidFieldError("at")
+        arrived_ms = min(arrived_ms, read_ms)
         callers_send_deadline = self.config.settings.callers_send_deadline
         if fields.wait_ms is None and callers_send_deadline:
             raise wire.InvalidFieldError("wait")
         wait_ms = method.deadline_ms if fields.wait_ms is None else fields.wait_ms
         if wait_ms > MAX_WAIT_FACTOR * method.deadline_ms:
             raise wire.InvalidFieldError("wait")
-        remaining_ms = None
-        if callers_send_deadline:
-            remaining_ms = min(wait_ms, fields.arrived_unix_ms + wait_ms - now_unix_ms)
-        age_ms = max(0.0, now_unix_ms - fields.arrived_unix_ms)
-        return CheckedRequest(method, tenant, fields, age_ms, wait_ms, remaining_ms)
+        remaining_ms = arrived_ms + wait_ms - read_ms if callers_send_deadline else None
+        return CheckedRequest(method, tenant, fields, read_ms, arrived_ms, wait_ms, remaining_ms)
 
 
 def _id_in_use_error(method: Method, rpc_with_id: RoutedRpc) -> LandingshiftError:
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -69,7 +69,7 @@
         self.before_decisions: Callable[[], None] | None = None
         self.driver = AdmissionDriver(loop)
         self.table = RpcTable()
-        self.request_validator = RequestValidator(config, self.table)
+        self.request_validator = RequestValidator(loop, config, self.table)
         self.dedup = _dedup_table(config)
         self.gateways = _gateways(loop, config, log, listener)
         self.database = DatabasePool(loop, config.database, log)
--- a/landingshift/net/routing/rpc_intake.py
+++ b/landingshift/net/routing/rpc_intake.py
@@ -90,8 +90,7 @@
             self._answer_not_accepted(connection, request, checked.method, dedup_key)
             return
         rpc = _make_rpc(connection, request, checked, dedup_key)
-        now_ms = self.driver.loop.now_ms
-        original = self.dedup.find(rpc, now_ms, now_ms - checked.age_ms)
+        original = self.dedup.find(rpc, checked.read_ms, checked.arrived_ms)
         if original is not None:
             rpc.is_duplicate = True
             self.dedup.link_duplicate(rpc, original)
--- a/landingshift/net/transport/listener.py
+++ b/landingshift/net/transport/listener.py
@@ -101,6 +101,7 @@
     def _accept(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.loop.update_now()
         self.on_accept(sock)
 
     def _pause(self) -> None:
--- a/landingshift/net/transport/loop.py
+++ b/landingshift/net/transport/loop.py
@@ -1,6 +1,11 @@
 """The event loop: each pass reads sockets, fires timers, calls the hook `settle` and writes the output.
 
-Guarantee: an exception in one handler neither stops the loop nor prevents calls of the other handlers.
+Guarantees:
+
+- An exception in one handler neither stops the loop nor prevents calls of the other handlers.
+- `now_ms` is never earlier than the receipt of the input that is being handled, and `settle` is called with
+  the current time. Both also hold if the process is paused in the middle of a pass.
+- A timer fires only after all input that had arrived when the timer became due.
 """
 
 from __future__ import annotations
@@ -13,6 +18,8 @@
 
 LATE_TIMER_MS = 5.0  # a timer that is overdue by more than this indicates that the process was paused
 SLOW_PASS_MS = 100.0  # a pass that takes longer, without the wait for sockets, is reported
+# If more time has passed since the sockets were polled, the process was paused or is busy.
+MAX_POLL_AGE_MS = 50.0
 MAX_CATCH_UP_READS = 16  # maximum number of `read` calls after a pause, before timers fire
 MAX_WAIT_MS = 1000.0  # maximum wait for sockets if there is no timer
 MIN_CANCELLED_TIMERS = 64  # with fewer cancelled timers the heap is not compacted
@@ -50,7 +57,10 @@
             `traceback.format_exc` can format the exception.
 
     Attributes:
-        now_ms: The monotonic time of the last `read` call; handlers use it as the current time.
+        now_ms: The monotonic time that handlers use as the current time. It was read after the input that is
+            being handled was received; while timers fire, it can be late by `MAX_POLL_AGE_MS`.
+        polled_ms: The monotonic time at which the sockets were last polled. All input that arrived earlier
+            has been read; timers that are due by then fire.
         on_slow_pass: Called with the duration of a pass that took longer than `SLOW_PASS_MS`.
         read_count: The number of `read` calls.
         pending_writers: The writers with output to write at the end of the pass, in order.
@@ -70,12 +80,21 @@
         self.settle: Callable[[], None] = lambda: None
         self.on_slow_pass: Callable[[float], None] = lambda _duration_ms: None
         self.now_ms = self.clock_ms()
+        self.polled_ms = self.now_ms
 
     @staticmethod
     def clock_ms() -> float:
-        """Returns the current monotonic time; unlike `now_ms`, it advances within a pass."""
+        """Returns the current monotonic time."""
         return time.monotonic() * 1000.0
 
+    def update_now(self) -> None:
+        """Sets `now_ms` to the current time.
+
+        Whoever receives input calls this after the receipt and before the input is handled. A message would
+        otherwise seem to have been read before it arrived, if the process was paused after the poll.
+        """
+        self.now_ms = self.clock_ms()
+
     def after(self, delay_ms: float, action: Callable[[], None]) -> Timer:
         """Starts a timer that calls `action` after the delay.
 
@@ -123,10 +142,11 @@
         """Waits for sockets or the next timer, calls handlers and then `settle`, and writes the output."""
         wait_ms = max(0.0, self.timers[0][0] - self.clock_ms()) if self.timers else MAX_WAIT_MS
         self.read(wait_ms)
-        began_ms = self.now_ms
-        if self.timers and self.now_ms - self.timers[0][0] > LATE_TIMER_MS:
+        began_ms = self.polled_ms
+        if self._is_input_outdated():
             self._catch_up()
         self._fire_timers()
+        self.update_now()
         self._run_guarded(self.settle)
         while self.pending_writers:
             writers = self.pending_writers
@@ -137,6 +157,12 @@
         if duration_ms > SLOW_PASS_MS:
             self.on_slow_pass(duration_ms)
 
+    def _is_input_outdated(self) -> bool:
+        """Returns whether the process was probably paused, so that more input can have arrived."""
+        if self.clock_ms() - self.polled_ms > MAX_POLL_AGE_MS:
+            return True
+        return bool(self.timers) and self.polled_ms - self.timers[0][0] > LATE_TIMER_MS
+
     def _catch_up(self) -> None:
         """Reads input that arrived during a pause of the process, so that no timer treats it as missing."""
         for _ in range(MAX_CATCH_UP_READS):
@@ -144,7 +170,7 @@
                 return
 
     def _fire_timers(self) -> None:
-        while self.timers and self.timers[0][0] <= self.now_ms:
+        while self.timers and self.timers[0][0] <= self.polled_ms:
             timer = heapq.heappop(self.timers)[2]
             if timer.action is None:
                 self.cancelled_count -= 1
@@ -160,7 +186,8 @@
             Whether any socket was ready.
         """
         events = self.selector.select(wait_ms / 1000.0)
-        self.now_ms = self.clock_ms()
+        self.update_now()
+        self.polled_ms = self.now_ms
         self.read_count += 1
         for key, mask in events:
             watcher = self.watchers.get(key.fd)
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -165,6 +165,7 @@
             except OSError:
                 self.close("reset")
                 return
+            self.loop.update_now()
             if not data:
                 self._on_eof()
                 return
--- a/tests/hot_restart_fixtures.py
+++ b/tests/hot_restart_fixtures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import os
 import random
 import select
@@ -143,9 +144,13 @@
     """A router in this process, connected to an engine and a database that the test simulates.
 
     `move` replaces the router by one that is imported from its state; the connections to its peers stay open.
+
+    Args:
+        case: The test case; its cleanups close the router's descriptors.
+        repeat_window_ms: The deduplication window of the method `token`.
     """
 
-    def __init__(self, case: unittest.TestCase) -> None:
+    def __init__(self, case: unittest.TestCase, repeat_window_ms: float = 5000.0) -> None:
         self.case = case
         self.engine_listener = socket.create_server(("127.0.0.1", 0))
         self.database_listener = socket.create_server(("127.0.0.1", 0))
@@ -159,7 +164,9 @@
             "db": _address(self.database_listener),
             "roster": _address(self.roster),
         }
-        self.config = decode_config(CONFIG | addresses, {})
+        config = copy.deepcopy(CONFIG) | addresses
+        config["settings"]["classes"][1]["repeat-window"] = repeat_window_ms
+        self.config = decode_config(config, {})
         self.faults: list[str] = []
         self.loop = self.new_loop()
         self.router = Router(self.loop, self.config, self.log)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from typing import Any
+from unittest import mock
 
 import msgpack
 
@@ -50,6 +51,8 @@
     ) -> None:
         self.test, self.events, self.close_reasons = case, RecordedGatewayEvents(), list[str]()
         self.loop = Loop(lambda: case.fail("a handler raised"))
+        self.clock_lead_ms = 0.0  # of the loop's clock over the system's
+        case.enterContext(mock.patch.object(self.loop, "clock_ms", self.clock_ms))
         self.gateways = Gateways(
             self.loop, ("127.0.0.1", 0), max_connections, 1 << 26, idle_limit_ms, log=self.log
         )
@@ -81,9 +84,13 @@
 
         wait_until(run_pass)
 
+    def clock_ms(self) -> float:
+        return Loop.clock_ms() + self.clock_lead_ms
+
     def advance_clock(self, ms: float) -> None:
         """Advances the loop's clock without a pass, so that received bytes stay unread."""
-        self.loop.now_ms += ms
+        self.clock_lead_ms += ms
+        self.loop.update_now()
 
 
 def rpc_request(message_id: int = 1) -> bytes:
--- /dev/null
+++ b/tests/test_pauses.py
@@ -0,0 +1,330 @@
+"""Tests pauses of the process in the middle of a pass of the event loop.
+
+A pause matters only to the readings of the clocks that follow it. Each test therefore plays a pass once for
+each reading in it, and pauses before that reading.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+import unittest
+from collections.abc import Callable
+from math import inf
+from unittest import mock
+
+from landingshift.net.routing.rpc_record import RoutedRpc
+from landingshift.net.transport.listener import Listener
+from landingshift.net.transport.loop import Loop
+from landingshift.net.transport.stream import Stream
+from landingshift.net.transport.unix_time import MAX_READING_MS, unix_offset_ms
+from tests.helpers import wait_until
+from tests.hot_restart_fixtures import RouterHarness
+
+PAUSE_MS = 600.0
+WINDOW_MS = 1000.0
+WINDOW_SLACK_MS = 50.0  # how long before the end of its window a repeat arrives
+GRACE_MS = 300.0  # `drain-grace` of the harness's configuration
+MIN_READINGS = 3  # a pass reads the clocks at least this often
+TRUNCATION_MS = 1.0  # `at` is in whole milliseconds
+REQUEST_START = b"\x94"  # the first byte of each request
+WINDOW_MARGIN_MS = 1.0  # by which windows are longer than configured
+
+
+class PausableClocks:
+    """The system's clocks; a pause makes both jump ahead before a chosen reading of one of them.
+
+    Attributes:
+        on_pause: Called during the pause, once both clocks have advanced.
+        has_paused: Whether the pause has happened.
+    """
+
+    def __init__(self, case: unittest.TestCase) -> None:
+        self._system_monotonic, self._system_unix = time.monotonic, time.time
+        self._lead_seconds = 0.0
+        self._readings_left = inf
+        self.on_pause: Callable[[], None] = lambda: None
+        self.has_paused = False
+        case.enterContext(mock.patch("time.monotonic", self._monotonic))
+        case.enterContext(mock.patch("time.time", self._unix))
+
+    def pause_before_reading(self, number: int) -> None:
+        """Pauses before the reading with this number, counted from 1."""
+        self._readings_left = number
+
+    def advance(self, duration_ms: float) -> None:
+        """Lets time pass."""
+        self._lead_seconds += duration_ms / 1000.0
+
+    def cancel_pause(self) -> None:
+        """Plays no pause any more."""
+        self._readings_left = inf
+
+    def monotonic_ms(self) -> float:
+        return (self._system_monotonic() + self._lead_seconds) * 1000.0
+
+    def unix_ms(self) -> float:
+        return (self._system_unix() + self._lead_seconds) * 1000.0
+
+    def _count_reading(self) -> None:
+        self._readings_left -= 1
+        if self._readings_left == 0:
+            self.advance(PAUSE_MS)
+            self.has_paused = True
+            self.on_pause()
+
+    def _monotonic(self) -> float:
+        self._count_reading()
+        return self._system_monotonic() + self._lead_seconds
+
+    def _unix(self) -> float:
+        self._count_reading()
+        return self._system_unix() + self._lead_seconds
+
+
+class PausedPass:
+    """A router with a connected gateway, whose next pass is paused.
+
+    Attributes:
+        arrived_ms: Bounds of the arrival of the request sent last, by the monotonic clock.
+        was_paused_before_settle: Whether the controller decided after the pause.
+    """
+
+    def __init__(self, case: unittest.TestCase) -> None:
+        self.clocks = PausableClocks(case)
+        self.harness = RouterHarness(case, repeat_window_ms=WINDOW_MS)
+        self.loop = self.harness.loop
+        self.gateway = self.harness.connect_gateway()
+        self.harness.run()
+        self.arrived_ms = (0.0, 0.0)
+        self.was_paused_before_settle = False
+
+    def send(self, **fields: str) -> None:
+        """Sends a request of the method `token` that arrives now, and waits until it can be read."""
+        self.gateway.sendall(self.request(**fields))
+        first_connection = next(iter(self.harness.router.gateways.connections))
+        wait_until(lambda: has_input(first_connection.stream.sock))
+
+    def request(self, **fields: str) -> bytes:
+        """Returns a request of the method `token` that arrives now."""
+        earliest_ms = self.clocks.monotonic_ms() - TRUNCATION_MS
+        at = str(int(self.clocks.unix_ms()))
+        self.arrived_ms = (earliest_ms, self.clocks.monotonic_ms())
+        return self.harness.request("token", b"work", at=at, **fields)
+
+    def run(self, reading: int) -> bool:
+        """Runs a pass with a pause before the reading; returns False if the pass has fewer readings."""
+        settle = self.loop.settle
+
+        def record_and_settle() -> None:
+            self.was_paused_before_settle = self.clocks.has_paused
+            settle()
+
+        self.loop.settle = record_and_settle
+        self.clocks.pause_before_reading(reading)
+        self.loop.run_pass()
+        self.loop.settle = settle
+        self.clocks.cancel_pause()
+        return self.clocks.has_paused
+
+    def rpcs(self) -> list[RoutedRpc]:
+        """Returns the RPCs in flight."""
+        return list(self.harness.router.table)
+
+    def window_ends_ms(self, token: str) -> float:
+        """Returns the end of the deduplication window of a token."""
+        return self.harness.router.dedup.entries[b"token", token].expires_ms
+
+
+def has_input(sock: socket.socket) -> bool:
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return False
+
+
+class PauseWhileRequestIsReadTest(unittest.TestCase):
+    def play_each_reading(self, play: Callable[[PausedPass, int], None]) -> None:
+        """Plays a test once for each reading of the clocks in a pass, each time with a new router."""
+        reading, has_paused = 0, True
+        while has_paused:
+            reading += 1
+            paused_pass = PausedPass(self)
+            with self.subTest(reading=reading):
+                play(paused_pass, reading)
+                self.assertEqual(paused_pass.harness.faults, [])
+            has_paused = paused_pass.clocks.has_paused
+            self.doCleanups()
+        self.assertGreater(reading, MIN_READINGS)
+
+    def test_token_does_not_run_twice_within_its_window(self) -> None:
+        # The window once ended earlier by the length of the pause: a repeat in it ran a second time.
+        def play(paused_pass: PausedPass, reading: int) -> None:
+            harness, clocks = paused_pass.harness, paused_pass.clocks
+            paused_pass.send(once="a")
+            paused_pass.run(reading)
+            words, _ = harness.next_command()
+            self.assertEqual(words[0], "RUN")
+            harness.engine.send(b"DONE 1 %b good 5 1\r\nr\r\n" % words[1].encode())
+            self.assertEqual(harness.answers(paused_pass.gateway, 1), {1: b"r"})
+            within_ms = paused_pass.arrived_ms[0] + WINDOW_MS - WINDOW_SLACK_MS
+            clocks.advance(within_ms - clocks.monotonic_ms())
+            paused_pass.send(once="a")
+            harness.run()
+            self.assertEqual([rpc.rpc_id for rpc in paused_pass.rpcs()], [], "the repeat runs")
+            self.assertEqual(harness.answers(paused_pass.gateway, 1), {2: b"r"})
+
+        self.play_each_reading(play)
+
+    def test_window_and_deadline_count_from_the_arrival(self) -> None:
+        def play(paused_pass: PausedPass, reading: int) -> None:
+            paused_pass.send(once="a", wait="2000")
+            paused_pass.run(reading)
+            paused_pass.harness.run()
+            (rpc,) = paused_pass.rpcs()
+            assert rpc.managed is not None
+            earliest_ms, latest_ms = paused_pass.arrived_ms
+            for arrived_ms in (
+                rpc.managed.arrived_at_ms,
+                rpc.managed.deadline_at_ms - 2000.0,
+                paused_pass.window_ends_ms("a") - WINDOW_MS - WINDOW_MARGIN_MS,
+            ):
+                self.assertLessEqual(earliest_ms, arrived_ms)
+                self.assertLessEqual(arrived_ms, latest_ms + MAX_READING_MS)
+
+        self.play_each_reading(play)
+
+    def test_window_of_a_request_that_arrives_after_the_pause_in_the_same_pass(self) -> None:
+        # The window once began at the poll, before the pause, since no request can have arrived after it.
+        def play(paused_pass: PausedPass, reading: int) -> None:
+            other_gateway = paused_pass.harness.connect_gateway()
+            paused_pass.harness.run()
+
+            def send_rest() -> None:
+                other_gateway.sendall(paused_pass.request(once="b")[len(REQUEST_START) :])
+
+            paused_pass.send(once="a")
+            other_gateway.sendall(REQUEST_START)  # the poll reports this connection, too
+            paused_pass.clocks.on_pause = send_rest
+            paused_pass.run(reading)
+            paused_pass.harness.run()
+            if paused_pass.clocks.has_paused:
+                window_began_ms = paused_pass.window_ends_ms("b") - WINDOW_MS
+                self.assertLessEqual(paused_pass.arrived_ms[0], window_began_ms)
+
+        self.play_each_reading(play)
+
+    def test_request_that_arrives_after_the_grace_of_a_drain_does_not_run(self) -> None:
+        # It once counted as having arrived before the end of the grace, earlier by the length of the pause.
+        def play(paused_pass: PausedPass, reading: int) -> None:
+            paused_pass.harness.router.shutdown.stop_ms = 10.0 * PAUSE_MS
+            paused_pass.harness.router.drain()
+            paused_pass.clocks.advance(GRACE_MS + WINDOW_SLACK_MS)
+            paused_pass.send()
+            paused_pass.run(reading)
+            self.assertEqual(paused_pass.harness.answers(paused_pass.gateway, 1), {1: "Busy"})
+
+        self.play_each_reading(play)
+
+    def test_request_whose_time_ends_during_the_pause_is_rejected_unrun(self) -> None:
+        def play(paused_pass: PausedPass, reading: int) -> None:
+            paused_pass.send(wait=str(int(PAUSE_MS / 2.0)))
+            paused_pass.run(reading)
+            if paused_pass.was_paused_before_settle:
+                self.assertEqual(paused_pass.rpcs(), [])
+                self.assertEqual(paused_pass.harness.answers(paused_pass.gateway, 1), {1: "Busy"})
+
+        self.play_each_reading(play)
+
+
+class UnixOffsetTest(unittest.TestCase):
+    def test_offset_is_that_of_one_moment_wherever_a_pause_lies(self) -> None:
+        clocks = PausableClocks(self)
+        for reading in range(1, 7):
+            with self.subTest(reading=reading):
+                earliest_ms = clocks.unix_ms() - clocks.monotonic_ms()
+                clocks.pause_before_reading(reading)
+                self.assertAlmostEqual(unix_offset_ms(), earliest_ms, delta=MAX_READING_MS + 1.0)
+
+
+class InputDuringPauseTest(unittest.TestCase):
+    """Input that arrives during a pause in a pass is read in that pass, at a time after its arrival."""
+
+    def setUp(self) -> None:
+        self.clocks = PausableClocks(self)
+        self.loop = Loop(lambda: self.fail("a handler raised"))
+        self.addCleanup(self.loop.selector.close)
+        self.read_at_ms: list[float] = []
+        self.arrived_ms = inf
+
+    def run_paused_pass(self, send: Callable[[], None]) -> None:
+        """Runs a pass in which the process is paused right after the poll; `send` is called in the pause."""
+
+        def on_pause() -> None:
+            send()
+            self.arrived_ms = self.clocks.monotonic_ms()
+
+        self.clocks.on_pause = on_pause
+        self.loop.after(0.0, lambda: None)
+        self.clocks.pause_before_reading(3)  # the first two: the wait for sockets, the time of the poll
+        self.loop.run_pass()
+        self.assertTrue(self.clocks.has_paused)
+
+    def on_data(self, _data: bytes) -> None:
+        self.read_at_ms.append(self.loop.now_ms)
+
+    def on_eof(self) -> None:
+        """Does nothing."""
+
+    def on_closed(self, _reason: str) -> None:
+        """Does nothing."""
+
+    def stream_pair(self) -> tuple[socket.socket, Stream]:
+        remote, local = socket.socketpair()
+        self.addCleanup(remote.close)
+        self.addCleanup(local.close)
+        local.setblocking(False)
+        return remote, Stream(self.loop, local, self, 1 << 16)
+
+    def test_bytes_of_a_stream_are_read_after_they_arrived(self) -> None:
+        remote, _ = self.stream_pair()
+        remote.send(b"a")
+        self.run_paused_pass(lambda: None)
+        self.assertEqual(len(self.read_at_ms), 1)
+        self.assertGreaterEqual(self.read_at_ms[0], self.arrived_ms)
+
+    def test_timer_due_in_the_pause_fires_after_input_that_arrived_before_it(self) -> None:
+        remote, _ = self.stream_pair()
+        other_remote, _ = self.stream_pair()
+        other_remote.send(b"a")
+        events: list[str] = []
+        self.loop.after(PAUSE_MS / 2.0, lambda: events.append(f"timer after {len(self.read_at_ms)} reads"))
+        self.run_paused_pass(lambda: remote.send(b"b"))
+        self.loop.after(0.0, lambda: None)
+        self.loop.run_pass()
+        self.assertEqual(events, ["timer after 2 reads"])
+
+    def test_connection_is_accepted_after_it_was_opened(self) -> None:
+        accepted_at_ms: list[float] = []
+
+        def on_accept(sock: socket.socket) -> None:
+            accepted_at_ms.append(self.loop.now_ms)
+            sock.close()
+
+        listener = Listener(self.loop, ("127.0.0.1", 0), lambda _has_descriptors: True, on_accept)
+        self.addCleanup(listener.close)
+        peer = socket.create_connection(listener.address)
+        self.addCleanup(peer.close)
+        self.run_paused_pass(lambda: None)
+        self.assertEqual(len(accepted_at_ms), 1)
+        self.assertGreaterEqual(accepted_at_ms[0], self.arrived_ms)
+
+    def test_settle_is_called_with_the_time_after_the_pause(self) -> None:
+        settled_at_ms: list[float] = []
+        self.loop.settle = lambda: settled_at_ms.append(self.loop.now_ms)
+        self.run_paused_pass(lambda: None)
+        self.assertGreaterEqual(settled_at_ms[0], self.arrived_ms)
+
+
+if __name__ == "__main__":
+    unittest.main()
