--- /dev/null
+++ b/tests/pausable_clocks.py
@@ -0,0 +1,90 @@
+"""A replacement of the system's clocks that plays a pause of the process between two readings of them."""
+
+from __future__ import annotations
+
+import socket
+import time
+import unittest
+from collections.abc import Callable
+from math import inf
+from selectors import EVENT_READ
+from unittest import mock
+
+from landingshift.net.transport.loop import Loop
+
+PAUSE_MS = 600.0
+
+
+class PausableClocks:
+    """The system's clocks; a pause makes both jump ahead before a chosen reading of one of them.
+
+    Attributes:
+        on_pause: Called during the pause, once both clocks have advanced.
+        has_paused: Whether the pause has happened.
+    """
+
+    def __init__(self, case: unittest.TestCase) -> None:
+        self._system_monotonic, self._system_unix = time.monotonic, time.time
+        self._lead_seconds = 0.0
+        self._readings_left = inf
+        self.on_pause: Callable[[], None] = lambda: None
+        self.has_paused = False
+        case.enterContext(mock.patch("time.monotonic", self._monotonic))
+        case.enterContext(mock.patch("time.time", self._unix))
+
+    def pause_before_reading(self, number: int) -> None:
+        """Pauses before the reading with this number, counted from 1."""
+        self._readings_left = number
+
+    def advance(self, duration_ms: float) -> None:
+        """Lets time pass."""
+        self._lead_seconds += duration_ms / 1000.0
+
+    def cancel_pause(self) -> None:
+        """Plays no pause any more."""
+        self._readings_left = inf
+
+    def monotonic_ms(self) -> float:
+        return (self._system_monotonic() + self._lead_seconds) * 1000.0
+
+    def unix_ms(self) -> float:
+        return (self._system_unix() + self._lead_seconds) * 1000.0
+
+    def pause(self) -> None:
+        """Pauses now."""
+        self.advance(PAUSE_MS)
+        self.has_paused = True
+        self.on_pause()
+
+    def _count_reading(self) -> None:
+        self._readings_left -= 1
+        if self._readings_left == 0:
+            self.pause()
+
+    def _monotonic(self) -> float:
+        self._count_reading()
+        return self._system_monotonic() + self._lead_seconds
+
+    def _unix(self) -> float:
+        self._count_reading()
+        return self._system_unix() + self._lead_seconds
+
+
+class PauseAfterPoll:
+    """Pauses the process in a pass of a loop, after the poll and before other sockets are read."""
+
+    def __init__(self, case: unittest.TestCase, loop: Loop, clocks: PausableClocks) -> None:
+        self._clocks = clocks
+        self._remote, self._local = socket.socketpair()
+        case.addCleanup(self._remote.close)
+        case.addCleanup(self._local.close)
+        loop.watch(self._local.fileno(), EVENT_READ, self)
+
+    def plan(self) -> None:
+        """Makes the next pass pause; sockets that become readable later are read after the pause."""
+        self._remote.send(b"p")
+
+    def on_ready(self, _mask: int) -> None:
+        """Pauses."""
+        self._local.recv(1)
+        self._clocks.pause()
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import socket
-import time
 import unittest
 from collections.abc import Callable
 from math import inf
-from unittest import mock
 
+import msgpack
+
+from landingshift.net.routing.engine_link import MAX_OUTAGE_MS
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.transport.listener import Listener
 from landingshift.net.transport.loop import Loop
@@ -20,8 +21,8 @@
 from landingshift.net.transport.unix_time import MAX_READING_MS, unix_offset_ms
 from tests.helpers import wait_until
 from tests.hot_restart_fixtures import RouterHarness
+from tests.pausable_clocks import PAUSE_MS, PausableClocks, PauseAfterPoll
 
-PAUSE_MS = 600.0
 WINDOW_MS = 1000.0
 WINDOW_SLACK_MS = 50.0  # how long before the end of its window a repeat arrives
 GRACE_MS = 300.0  # `drain-grace` of the harness's configuration
@@ -31,57 +32,6 @@
 WINDOW_MARGIN_MS = 1.0  # by which windows are longer than configured
 
 
-class PausableClocks:
-    """The system's clocks; a pause makes both jump ahead before a chosen reading of one of them.
-
-    Attributes:
-        on_pause: Called during the pause, once both clocks have advanced.
-        has_paused: Whether the pause has happened.
-    """
-
-    def __init__(self, case: unittest.TestCase) -> None:
-        self._system_monotonic, self._system_unix = time.monotonic, time.time
-        self._lead_seconds = 0.0
-        self._readings_left = inf
-        self.on_pause: Callable[[], None] = lambda: None
-        self.has_paused = False
-        case.enterContext(mock.patch("time.monotonic", self._monotonic))
-        case.enterContext(mock.patch("time.time", self._unix))
-
-    def pause_before_reading(self, number: int) -> None:
-        """Pauses before the reading with this number, counted from 1."""
-        self._readings_left = number
-
-    def advance(self, duration_ms: float) -> None:
-        """Lets time pass."""
-        self._lead_seconds += duration_ms / 1000.0
-
-    def cancel_pause(self) -> None:
-        """Plays no pause any more."""
-        self._readings_left = inf
-
-    def monotonic_ms(self) -> float:
-        return (self._system_monotonic() + self._lead_seconds) * 1000.0
-
-    def unix_ms(self) -> float:
-        return (self._system_unix() + self._lead_seconds) * 1000.0
-
-    def _count_reading(self) -> None:
-        self._readings_left -= 1
-        if self._readings_left == 0:
-            self.advance(PAUSE_MS)
-            self.has_paused = True
-            self.on_pause()
-
-    def _monotonic(self) -> float:
-        self._count_reading()
-        return self._system_monotonic() + self._lead_seconds
-
-    def _unix(self) -> float:
-        self._count_reading()
-        return self._system_unix() + self._lead_seconds
-
-
 class PausedPass:
     """A router with a connected gateway, whose next pass is paused.
 
@@ -237,6 +187,24 @@
         self.play_each_reading(play)
 
 
+class HealthPauseTest(unittest.TestCase):
+    def test_deep_health_check_after_a_pause_fails_if_the_engine_link_is_lost_for_too_long(self) -> None:
+        # The outage of the link was once measured up to the poll, before the pause.
+        clocks = PausableClocks(self)
+        harness = RouterHarness(self)
+        gateway = harness.connect_gateway()
+        harness.run()
+        harness.engine.sock.close()
+        harness.run()
+        self.assertTrue(harness.router.engine.is_working)
+        clocks.advance(MAX_OUTAGE_MS - PAUSE_MS / 2.0)
+        PauseAfterPoll(self, harness.loop, clocks).plan()
+        gateway.sendall(msgpack.packb([0, 1, "probe", [{"deep": "1"}]]))
+        harness.loop.run_pass()
+        self.assertTrue(clocks.has_paused)
+        self.assertEqual(harness.answers(gateway, 1), {1: False})
+
+
 class UnixOffsetTest(unittest.TestCase):
     def test_offset_is_that_of_one_moment_wherever_a_pause_lies(self) -> None:
         clocks = PausableClocks(self)
@@ -248,25 +216,25 @@
 
 
 class InputDuringPauseTest(unittest.TestCase):
-    """Input that arrives during a pause in a pass is read in that pass, at a time after its arrival."""
+    """Input that arrives during a pause after the poll is read in that pass, at a time after its arrival."""
 
     def setUp(self) -> None:
         self.clocks = PausableClocks(self)
         self.loop = Loop(lambda: self.fail("a handler raised"))
         self.addCleanup(self.loop.selector.close)
+        self.pause = PauseAfterPoll(self, self.loop, self.clocks)
+        self.pause.plan()
         self.read_at_ms: list[float] = []
         self.arrived_ms = inf
 
     def run_paused_pass(self, send: Callable[[], None]) -> None:
-        """Runs a pass in which the process is paused right after the poll; `send` is called in the pause."""
+        """Runs a pass in which the process is paused after the poll; `send` is called in the pause."""
 
         def on_pause() -> None:
             send()
             self.arrived_ms = self.clocks.monotonic_ms()
 
         self.clocks.on_pause = on_pause
-        self.loop.after(0.0, lambda: None)
-        self.clocks.pause_before_reading(3)  # the first two: the wait for sockets, the time of the poll
         self.loop.run_pass()
         self.assertTrue(self.clocks.has_paused)
 
@@ -279,31 +247,22 @@
     def on_closed(self, _reason: str) -> None:
         """Does nothing."""
 
-    def stream_pair(self) -> tuple[socket.socket, Stream]:
+    def connected_socket(self) -> socket.socket:
+        """Returns the peer's end of a new stream."""
         remote, local = socket.socketpair()
         self.addCleanup(remote.close)
         self.addCleanup(local.close)
         local.setblocking(False)
-        return remote, Stream(self.loop, local, self, 1 << 16)
+        Stream(self.loop, local, self, 1 << 16)
+        return remote
 
     def test_bytes_of_a_stream_are_read_after_they_arrived(self) -> None:
-        remote, _ = self.stream_pair()
+        remote = self.connected_socket()
         remote.send(b"a")
-        self.run_paused_pass(lambda: None)
+        self.run_paused_pass(lambda: remote.send(b"b"))
         self.assertEqual(len(self.read_at_ms), 1)
         self.assertGreaterEqual(self.read_at_ms[0], self.arrived_ms)
 
-    def test_timer_due_in_the_pause_fires_after_input_that_arrived_before_it(self) -> None:
-        remote, _ = self.stream_pair()
-        other_remote, _ = self.stream_pair()
-        other_remote.send(b"a")
-        events: list[str] = []
-        self.loop.after(PAUSE_MS / 2.0, lambda: events.append(f"timer after {len(self.read_at_ms)} reads"))
-        self.run_paused_pass(lambda: remote.send(b"b"))
-        self.loop.after(0.0, lambda: None)
-        self.loop.run_pass()
-        self.assertEqual(events, ["timer after 2 reads"])
-
     def test_connection_is_accepted_after_it_was_opened(self) -> None:
         accepted_at_ms: list[float] = []
 
@@ -311,13 +270,24 @@
             accepted_at_ms.append(self.loop.now_ms)
             sock.close()
 
+        def connect() -> None:
+            self.addCleanup(socket.create_connection(listener.address).close)
+
         listener = Listener(self.loop, ("127.0.0.1", 0), lambda _has_descriptors: True, on_accept)
         self.addCleanup(listener.close)
-        peer = socket.create_connection(listener.address)
-        self.addCleanup(peer.close)
-        self.run_paused_pass(lambda: None)
-        self.assertEqual(len(accepted_at_ms), 1)
-        self.assertGreaterEqual(accepted_at_ms[0], self.arrived_ms)
+        connect()
+        self.run_paused_pass(connect)
+        self.assertEqual(len(accepted_at_ms), 2)
+        self.assertGreaterEqual(accepted_at_ms[1], self.arrived_ms)
+
+    def test_timer_due_in_the_pause_fires_after_input_that_arrived_before_it(self) -> None:
+        remote = self.connected_socket()
+        events: list[str] = []
+        self.loop.after(PAUSE_MS / 2.0, lambda: events.append(f"timer after {len(self.read_at_ms)} reads"))
+        self.run_paused_pass(lambda: remote.send(b"a"))
+        self.loop.after(0.0, lambda: None)
+        self.loop.run_pass()
+        self.assertEqual(events, ["timer after 1 reads"])
 
     def test_settle_is_called_with_the_time_after_the_pause(self) -> None:
         settled_at_ms: list[float] = []
