Cold start: a call quota that expires during a pause is not used in the pass after it

Callers of the store saw: a server that was paused in a pass could assign calls under a quota whose lease had ended, while its grantor had already given the amount to another server. Cause: the quota was passed to the admission controller by a timer at the lease's end; the controller decides after the timers of its pass, and a timer that becomes due by a pause in the pass fires in the next one. Change: Router.before_decisions is a list; ColdStartService passes the quota there, right before the controller decides, as policies already did for its leases. The call in the timer is gone. Evidence: LeasePauseTest.test_quota_that_expires_during_the_pause_is_not_used_after_it pauses after the poll and before each reading of a pass, and fails on the code before (reading=4): Lists differ: [55.0] != [5.0]. With the change the quota is the floor, 5 calls a second, whenever the controller decides after the pause. A pause after that reading is not seen.

--- a/landingshift/coldstart/service.py
+++ b/landingshift/coldstart/service.py
@@ -90,6 +90,7 @@
         self._applied_call_quota = NO_CALL_QUOTA
         self._router.health_reporter.add_readiness_gate(self.name)
         self._router.observers.add(self)
+        self._router.before_decisions.append(self._apply_call_quota)
         membership.operator_rpc.handlers |= {
             "coldstart": self._on_status_call,
             "lent": self._on_granted_leases_call,
@@ -155,7 +156,6 @@
         if self._router.admission is not None and participant.on_timer(now_ms, self._observe()):
             self._on_stage_changed()
         self._lease_history.update(participant)
-        self._apply_call_quota()
         self._discovery.on_timer()
         self._node.publish_metadata(now_ms, **published_metadata(participant, now_ms))
 
@@ -173,7 +173,10 @@
             self._router.health_reporter.remove_readiness_gate(self.name)
 
     def _apply_call_quota(self) -> None:
-        """Pass the call quota to admission control if it has changed."""
+        """Pass the call quota to admission control if it has changed.
+
+        Called before the controller decides, so that it assigns no calls under a lease that has expired.
+        """
         admission = self._router.admission
         if not self._settings.downstream_calls_per_second or admission is None:
             return
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -53,7 +53,8 @@
 
     Attributes:
         config: The configuration in effect; a reload replaces it.
-        before_decisions: Called at the end of each loop pass, before the controller settles.
+        before_decisions: Called in order at the end of each loop pass, before the controller settles; the
+            loop's clock has just been read.
     """
 
     def __init__(
@@ -66,7 +67,7 @@
         self.loop = loop
         self.config = config
         self.log = log
-        self.before_decisions: Callable[[], None] | None = None
+        self.before_decisions: list[Callable[[], None]] = []
         self.driver = AdmissionDriver(loop)
         self.table = RpcTable()
         self.request_validator = RequestValidator(loop, config, self.table)
@@ -161,8 +162,8 @@
 
         Afterwards, pending cancellations are sent to the database.
         """
-        if self.before_decisions is not None:
-            self.before_decisions()
+        for prepare in self.before_decisions:
+            prepare()
         self.driver.settle()
         self.database.flush(self._is_calling)
 
--- a/landingshift/policies/enforcement.py
+++ b/landingshift/policies/enforcement.py
@@ -51,7 +51,7 @@
         self._controller: AdmissionController | None = None  # the controller that was last updated
         self._may_decide = False
         self._checked_at_ms = self._loop.now_ms
-        self._router.before_decisions = self.before_decisions
+        self._router.before_decisions.append(self.before_decisions)
         self._router.health_reporter.add_readiness_gate(self.name)
         if decision_history.is_recording():
             self._router.observers.add(self)
--- a/tests/test_lease_pauses.py
+++ b/tests/test_lease_pauses.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 from random import Random
 from typing import Any, cast
+from unittest import mock
 
 from landingshift.coldstart.leases import HeldLease
-from landingshift.coldstart.participant import ColdStartParticipant, LoadObservation
+from landingshift.coldstart.participant import ColdStartParticipant, HeldLeases, LoadObservation
 from landingshift.coldstart.service import ColdStartService
 from landingshift.maintenance.messages import ReportAnswer
 from landingshift.maintenance.service import MaintenanceService
@@ -163,6 +164,37 @@
         self.assertGreater(holder.quota.held_amount, 0.0)
         self.assertGreaterEqual(grant.expires_at_ms, holder.quota.expires_at_ms)
 
+    def test_quota_that_expires_during_the_pause_is_not_used_after_it(self) -> None:
+        # The quota was once used until the next pass.
+        def play(clocks: PausableClocks, reading: int) -> None:
+            """Pauses before a reading, or after the poll if `reading` is 0."""
+            server = ServerUnderTest(self, coldstart=cold_start_table("g1"))
+            participant, admission = server.participant, server.router.admission
+            assert admission is not None
+            leases = HeldLeases(HeldLease(LEASE_MS), HeldLease(LEASE_MS))
+            number, _ = leases.call_quota.next_request(clocks.monotonic_ms() - LEASE_MS + PAUSE_MS / 2.0)
+            leases.call_quota.on_grant(number, CALLS_PER_SECOND / 2.0, clocks.monotonic_ms())
+            participant.held_leases["g1"] = leases
+            server.harness.run()
+            floor = participant.floor_calls_per_second
+            self.assertGreater(admission.call_rate.quota_per_second, floor)
+            quotas: list[float] = []
+            settle = admission.settle
+
+            def record_and_settle() -> None:
+                if clocks.has_paused:
+                    quotas.append(admission.call_rate.quota_per_second)
+                settle()
+
+            server.router.request_settle()
+            if reading == 0:
+                PauseAfterPoll(self, server.loop, clocks).plan()
+            with mock.patch.object(admission, "settle", record_and_settle):
+                server.run_paused_pass(clocks, reading)
+            self.assertEqual(quotas, [floor] * len(quotas))
+
+        self.play_each_reading(play)
+
 
 class PermitPauseTest(unittest.TestCase):
     def test_permit_that_expires_before_the_drain_begins_is_not_used(self) -> None:
