Cold start: the recovery grace after a boot counts from a clock read after the uptime

Holders could see: a grantor that starts after a boot grants again before the grants of its previous process have expired. Cause: the grace is the reservation period less the uptime, and was added to the loop's clock as read at the start of the process, before the packages were loaded and the uptime was read. It ended earlier by that time, or by a pause in it.

--- a/landingshift/coldstart/service.py
+++ b/landingshift/coldstart/service.py
@@ -81,8 +81,9 @@
         config = self._router.config
         rng = Random(f"{config.seed} coldstart {config.name}")
         grace_ms = grantor_recovery_grace_ms(settings, self._node.local_record.name, self._log)
+        # The clock is read after the uptime, so that the grace period does not end too early.
         self._participant = ColdStartParticipant(
-            self._node, cold_start_plan(settings), rng, self._loop.now_ms, grace_ms
+            self._node, cold_start_plan(settings), rng, self._loop.clock_ms(), grace_ms
         )
         self._saturation = DownstreamSaturation()
         self._discovery = EndpointDiscovery(self._loop, membership, settings, rng, self._log)
--- a/tests/test_lease_pauses.py
+++ b/tests/test_lease_pauses.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
 from typing import Any, cast
 from unittest import mock
@@ -13,6 +14,7 @@
 from landingshift.coldstart.leases import HeldLease
 from landingshift.coldstart.participant import ColdStartParticipant, HeldLeases, LoadObservation
 from landingshift.coldstart.service import ColdStartService
+from landingshift.coldstart.settings import Settings, cold_start_plan
 from landingshift.maintenance.messages import ReportAnswer
 from landingshift.maintenance.service import MaintenanceService
 from landingshift.membership import wire
@@ -22,6 +24,7 @@
 from landingshift.membership.timings import SwimTimings
 from landingshift.net.program import features
 from landingshift.net.routing.router import Router
+from landingshift.system_clock import SystemBoot
 from tests.hot_restart_fixtures import RouterHarness
 from tests.pausable_clocks import PAUSE_MS, PausableClocks, PauseAfterPoll
 from tests.test_golden_protocol import unshared_address
@@ -195,6 +198,29 @@
 
         self.play_each_reading(play)
 
+    def test_recovery_grace_after_a_boot_counts_from_the_reading_of_the_uptime(self) -> None:
+        # It was once counted from an earlier reading of the loop's clock, and ended earlier.
+        clocks = PausableClocks(self)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        Path(f"{folder}/list.boot").write_text("earlier boot")
+        uptime_ms, booted_at_ms = 100.0, 0.0
+
+        def system_boot() -> SystemBoot:
+            nonlocal booted_at_ms
+            clocks.advance(PAUSE_MS)
+            booted_at_ms = clocks.monotonic_ms() - uptime_ms
+            return SystemBoot("this boot", uptime_ms)
+
+        table = cold_start_table(SERVER_NAME, snapshot=f"{folder}/list")
+        with mock.patch("landingshift.system_clock.system_boot", system_boot):
+            server = ServerUnderTest(self, coldstart=table)
+        grantor = server.participant.grantor
+        assert grantor is not None
+        reservation_ms = cold_start_plan(Settings(max_servers=2, lease_ms=LEASE_MS, expiry_margin_ms=0.0))
+        self.assertGreaterEqual(
+            grantor.call_quota_grantor.recovery_grace_until_ms, booted_at_ms + reservation_ms.reservation_ms
+        )
+
 
 class PermitPauseTest(unittest.TestCase):
     def test_permit_that_expires_before_the_drain_begins_is_not_used(self) -> None:
