--- a/landingshift/net/transport/loop.py
+++ b/landingshift/net/transport/loop.py
@@ -5,7 +5,8 @@
 - An exception in one handler neither stops the loop nor prevents calls of the other handlers.
 - `now_ms` is never earlier than the receipt of the input that is being handled, and `settle` is called with
   the current time. Both also hold if the process is paused in the middle of a pass.
-- A timer fires only after all input that had arrived when the timer became due.
+- A timer fires only if it was due when the sockets were last polled, and after the input that this poll found
+  was read. After a pause, the sockets are polled again first.
 """
 
 from __future__ import annotations
@@ -59,8 +60,7 @@
     Attributes:
         now_ms: The monotonic time that handlers use as the current time. It was read after the input that is
             being handled was received; while timers fire, it can be late by `MAX_POLL_AGE_MS`.
-        polled_ms: The monotonic time at which the sockets were last polled. All input that arrived earlier
-            has been read; timers that are due by then fire.
+        polled_ms: The monotonic time at which the sockets were last polled; timers due by then fire.
         on_slow_pass: Called with the duration of a pass that took longer than `SLOW_PASS_MS`.
         read_count: The number of `read` calls.
         pending_writers: The writers with output to write at the end of the pass, in order.
--- a/tests/pausable_clocks.py
+++ b/tests/pausable_clocks.py
@@ -13,6 +13,7 @@
 from landingshift.net.transport.loop import Loop
 
 PAUSE_MS = 600.0
+MIN_READINGS = 3  # a pass reads the clocks more often than this
 
 
 class PausableClocks:
@@ -88,3 +89,24 @@
         """Pauses."""
         self._local.recv(1)
         self._clocks.pause()
+
+
+class PauseTestCase(unittest.TestCase):
+    """Plays tests once for each moment at which a pause in a pass of the loop can matter."""
+
+    def play_each_reading(self, play: Callable[[PausableClocks, int], None], first_reading: int = 1) -> None:
+        """Plays a test once for each reading of the clocks in a pass, with new clocks and after all cleanups.
+
+        Args:
+            play: Runs a pass that pauses before the reading with the given number, and checks its effects.
+            first_reading: The first number; 0 for a test that itself plays another pause for this number.
+        """
+        reading, has_paused = first_reading, True
+        while has_paused:
+            clocks = PausableClocks(self)
+            with self.subTest(reading=reading):
+                play(clocks, reading)
+            has_paused = clocks.has_paused
+            self.doCleanups()
+            reading += 1
+        self.assertGreater(reading, MIN_READINGS)
