--- a/tests/test_lease_pauses.py
+++ b/tests/test_lease_pauses.py
@@ -23,6 +23,7 @@
 from landingshift.membership.timings import SwimTimings
 from landingshift.net.program import features
 from landingshift.net.routing.router import Router
+from landingshift.policies.service import PolicyService
 from landingshift.system_clock import SystemBoot
 from tests.hot_restart_fixtures import RouterHarness
 from tests.pausable_clocks import PAUSE_MS, PausableClocks, PauseAfterPoll, PauseTestCase
@@ -208,6 +209,37 @@
         )
 
 
+class PolicyLeasePauseTest(PauseTestCase):
+    def test_server_whose_lease_expires_during_the_pause_decides_on_standby(self) -> None:
+        def play(clocks: PausableClocks, reading: int) -> None:
+            """Pauses before a reading, or after the poll if `reading` is 0."""
+            table = {"voters": ["v1"], "when_cut_off": "stand_aside"}  # no voter answers
+            server = ServerUnderTest(self, policies=table)
+            policies = cast(PolicyService, server.host.services["policies"])
+            participant, admission = policies.policy_node.participant, server.router.admission
+            assert admission is not None
+            participant.is_member = True
+            participant.version = participant.latest_version = policies.enforcement.applied_version = 1
+            participant.lease_expiry_ms = clocks.monotonic_ms() + PAUSE_MS / 2.0
+            server.harness.run()
+            self.assertTrue(admission.draining.is_in_service)
+            settle = admission.settle
+
+            def check_and_settle() -> None:
+                if clocks.has_paused:
+                    self.assertFalse(admission.draining.is_in_service)
+                settle()
+
+            server.router.request_settle()
+            if reading == 0:
+                PauseAfterPoll(self, server.loop, clocks).plan()
+            with mock.patch.object(admission, "settle", check_and_settle):
+                server.run_paused_pass(clocks, reading)
+            self.assertEqual(server.harness.faults, [])
+
+        self.play_each_reading(play, first_reading=0)
+
+
 class PermitPauseTest(unittest.TestCase):
     def test_permit_that_expires_before_the_drain_begins_is_not_used(self) -> None:
         for pause_ms in (0.0, PAUSE_MS):
