--- a/tests/pausable_clocks.py
+++ b/tests/pausable_clocks.py
@@ -13,7 +13,7 @@
 from landingshift.net.transport.loop import Loop
 
 PAUSE_MS = 600.0
-MIN_READINGS = 3  # a pass reads the clocks more often than this
+MIN_READINGS = 3  # a pass reads the clocks at least this often
 
 
 class PausableClocks:
@@ -101,12 +101,13 @@
             play: Runs a pass that pauses before the reading with the given number, and checks its effects.
             first_reading: The first number; 0 for a test that itself plays another pause for this number.
         """
-        reading, has_paused = first_reading, True
+        reading, has_paused = first_reading - 1, True
         while has_paused:
+            reading += 1
             clocks = PausableClocks(self)
             with self.subTest(reading=reading):
                 play(clocks, reading)
             has_paused = clocks.has_paused
             self.doCleanups()
-            reading += 1
-        self.assertGreater(reading, MIN_READINGS)
+        reading_count = reading - 1  # the last play had no reading left to pause before
+        self.assertGreaterEqual(reading_count, MIN_READINGS)
--- a/tests/test_lease_pauses.py
+++ b/tests/test_lease_pauses.py
@@ -5,6 +5,7 @@
 import socket
 import tempfile
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any, cast
@@ -13,7 +14,6 @@
 from landingshift.coldstart.leases import HeldLease
 from landingshift.coldstart.participant import ColdStartParticipant, HeldLeases, LoadObservation
 from landingshift.coldstart.service import ColdStartService
-from landingshift.coldstart.settings import Settings, cold_start_plan
 from landingshift.maintenance.messages import ReportAnswer
 from landingshift.maintenance.service import MaintenanceService
 from landingshift.membership import wire
@@ -59,12 +59,35 @@
     def participant(self) -> ColdStartParticipant:
         return cast(ColdStartService, self.host.services["coldstart"])._participant
 
-    def run_paused_pass(self, clocks: PausableClocks, reading: int) -> None:
-        """Runs a pass with a pause before the reading."""
+    def run_paused_pass(
+        self, case: unittest.TestCase, clocks: PausableClocks, reading: int, on_decision: Callable[[], None]
+    ) -> None:
+        """Runs a pass with a pause before the reading, or after the poll if `reading` is 0.
+
+        `on_decision` is called before the controller decides, if it decides after the pause. After a pause
+        after the poll, it always does.
+        """
+        admission = self.router.admission
+        assert admission is not None
+        settle, decisions = admission.settle, list[bool]()
+
+        def check_and_settle() -> None:
+            decisions.append(clocks.has_paused)
+            if clocks.has_paused:
+                on_decision()
+            settle()
+
+        if reading == 0:
+            PauseAfterPoll(case, self.loop, clocks).plan()
+        self.router.request_settle()
         self.loop.after(0.0, lambda: None)
         clocks.pause_before_reading(reading)
-        self.loop.run_pass()
+        with mock.patch.object(admission, "settle", check_and_settle):
+            self.loop.run_pass()
         clocks.cancel_pause()
+        case.assertTrue(decisions)
+        if reading == 0:
+            case.assertTrue(all(decisions))
 
 
 class Holder:
@@ -157,7 +180,6 @@
     def test_quota_that_expires_during_the_pause_is_not_used_after_it(self) -> None:
         # The quota was once used until the next pass.
         def play(clocks: PausableClocks, reading: int) -> None:
-            """Pauses before a reading, or after the poll if `reading` is 0."""
             server = ServerUnderTest(self, coldstart=cold_start_table("g1"))
             participant, admission = server.participant, server.router.admission
             assert admission is not None
@@ -168,20 +190,12 @@
             server.harness.run()
             floor = participant.floor_calls_per_second
             self.assertGreater(admission.call_rate.quota_per_second, floor)
-            quotas: list[float] = []
-            settle = admission.settle
 
-            def record_and_settle() -> None:
-                if clocks.has_paused:
-                    quotas.append(admission.call_rate.quota_per_second)
-                settle()
+            def check_quota() -> None:
+                self.assertEqual(admission.call_rate.quota_per_second, floor)
 
-            server.router.request_settle()
-            if reading == 0:
-                PauseAfterPoll(self, server.loop, clocks).plan()
-            with mock.patch.object(admission, "settle", record_and_settle):
-                server.run_paused_pass(clocks, reading)
-            self.assertEqual(quotas, [floor] * len(quotas))
+            server.run_paused_pass(self, clocks, reading, check_quota)
+            self.assertEqual(server.harness.faults, [])
 
         self.play_each_reading(play, first_reading=0)
 
@@ -203,16 +217,13 @@
             server = ServerUnderTest(self, coldstart=table)
         grantor = server.participant.grantor
         assert grantor is not None
-        reservation_ms = cold_start_plan(Settings(max_servers=2, lease_ms=LEASE_MS, expiry_margin_ms=0.0))
-        self.assertGreaterEqual(
-            grantor.call_quota_grantor.recovery_grace_until_ms, booted_at_ms + reservation_ms.reservation_ms
-        )
+        grace_until_ms = grantor.call_quota_grantor.recovery_grace_until_ms
+        self.assertGreaterEqual(grace_until_ms, booted_at_ms + server.participant.plan.reservation_ms)
 
 
 class PolicyLeasePauseTest(PauseTestCase):
     def test_server_whose_lease_expires_during_the_pause_decides_on_standby(self) -> None:
         def play(clocks: PausableClocks, reading: int) -> None:
-            """Pauses before a reading, or after the poll if `reading` is 0."""
             table = {"voters": ["v1"], "when_cut_off": "stand_aside"}  # no voter answers
             server = ServerUnderTest(self, policies=table)
             policies = cast(PolicyService, server.host.services["policies"])
@@ -223,18 +234,11 @@
             participant.lease_expiry_ms = clocks.monotonic_ms() + PAUSE_MS / 2.0
             server.harness.run()
             self.assertTrue(admission.draining.is_in_service)
-            settle = admission.settle
-
-            def check_and_settle() -> None:
-                if clocks.has_paused:
-                    self.assertFalse(admission.draining.is_in_service)
-                settle()
-
-            server.router.request_settle()
-            if reading == 0:
-                PauseAfterPoll(self, server.loop, clocks).plan()
-            with mock.patch.object(admission, "settle", check_and_settle):
-                server.run_paused_pass(clocks, reading)
+
+            def check_standby() -> None:
+                self.assertFalse(admission.draining.is_in_service)
+
+            server.run_paused_pass(self, clocks, reading, check_standby)
             self.assertEqual(server.harness.faults, [])
 
         self.play_each_reading(play, first_reading=0)
