Deduplication entries drop their RPCs, expire on time and are bounded by measured sizes

Cause: an entry counted 400 bytes and its result, but kept its whole closed RPC, 3.3 KB with the bodies of request and call; expired entries were removed only when the counted size exceeded the bound. Above the bound nothing stopped growth. Change: an entry drops its RPC when that is closed, and a closed RPC its bodies (the controller's record of it lives until the window ends). A heap removes entries once no duplicate can refer to them. Sizes are measured and include the key and the controller's records. Without room a new keyed RPC is rejected as never run, a cacheable read runs without an entry. The stored format of a hot restart is the same; a closed owner is exported with its key only. Why it works: all that an entry refers to is counted, whatever a request carries.

--- a/landingshift/admission/controller.py
+++ b/landingshift/admission/controller.py
@@ -321,6 +321,11 @@
         """Load reported in answers and health checks, in the form of `Settings.load_advertisement`."""
         return self.backpressure.advertised_load
 
+    @property
+    def dedup_entry_count(self) -> int:
+        """Number of live deduplication entries, for each of which the controller keeps a record of an RPC."""
+        return len(self.dedup.expires_at_ms)
+
     def arrivals_per_second(self, now_ms: float) -> float:
         """Returns the mean number of RPCs that were read per second over the last 2 s."""
         return self.order.arrivals_per_second(now_ms)
--- a/landingshift/admission/rpc_lifecycle.py
+++ b/landingshift/admission/rpc_lifecycle.py
@@ -188,6 +188,7 @@
             self._actions.abort(managed.rpc)
         self._dedup.drop_unless_started(managed)
         managed.lifecycle.close()
+        del managed.lifecycle  # its memory is not needed while the RPC's deduplication entry lives
         self._actions.release(managed.rpc)
 
     def _give_up_run(self, managed: ManagedRpc, previous: RpcState | None) -> None:
--- a/landingshift/hot_restart/state_export.py
+++ b/landingshift/hot_restart/state_export.py
@@ -84,6 +84,7 @@
         self._links += [link for link in self._links_with_calls() if link not in self._links]
         self._rpc_indexes: dict[RoutedRpc, int] = {}
         self._entry_indexes: dict[DedupEntry, int] = {}
+        self._owner_indexes: dict[DedupEntry, int] = {}
 
     def _links_with_calls(self) -> list[DatabaseLink]:
         """Returns the links with calls in flight, including retired links."""
@@ -137,9 +138,11 @@
         assert len(rpcs) == len(managed_rpcs)
         self._rpc_indexes = {rpc: index for index, rpc in enumerate(rpcs)}
         for entry in self._router.dedup.entries.values():
-            if entry.owner not in self._rpc_indexes:
-                self._rpc_indexes[entry.owner] = len(rpcs)
-                rpcs.append(entry.owner)
+            owner = entry.owner if entry.owner is not None else _closed_owner(entry)
+            if owner not in self._rpc_indexes:
+                self._rpc_indexes[owner] = len(rpcs)
+                rpcs.append(owner)
+            self._owner_indexes[entry] = self._rpc_indexes[owner]
         if any(rpc not in self._rpc_indexes for rpc in self._router.table):
             raise UnmanagedRpcError
         return rpcs
@@ -180,7 +183,7 @@
     def _export_rpc(self, rpc: RoutedRpc) -> StoredRpc:
         router = self._router
         config = router.config
-        connection = router.gateways.connections.get(rpc.connection)
+        connection = None if rpc.is_closed else router.gateways.connections.get(rpc.connection)
         original = router.dedup.originals.get(rpc)
         used_links = router.database.used_links.get(rpc, ())
         return StoredRpc(
@@ -191,7 +194,7 @@
             connection_index=NO_INDEX if connection is None else self._connections.index(connection),
             command=self._export_command(rpc),
             original_index=NO_INDEX if original is None else self._entry_indexes[original],
-            waits_for_original=original is not None and rpc in original.waiters,
+            waits_for_original=original is not None and rpc in (original.waiters or ()),
             used_link_indexes=[index for index, link in enumerate(self._links) if link in used_links],
         )
 
@@ -209,7 +212,7 @@
 
     def _export_dedup_entry(self, entry: DedupEntry) -> StoredDedupEntry:
         return StoredDedupEntry(
-            owner_index=self._rpc_indexes[entry.owner],
+            owner_index=self._owner_indexes[entry],
             expires_ms=entry.expires_ms,
             outcome=entry.outcome.value if entry.outcome is not None else None,
             ended_ms=entry.ended_ms,
@@ -254,3 +257,28 @@
     def _export_health(self) -> StoredHealth:
         reporter = self._router.health_reporter
         return StoredHealth(reporter.is_healthy, reporter.is_shallow, reporter.is_reporting)
+
+
+def _closed_owner(entry: DedupEntry) -> RoutedRpc:
+    """Returns a record of an entry's closed owner, with only what the other build needs of it: the key."""
+    return RoutedRpc(
+        method=entry.method,
+        tenant=None,
+        remaining_ms=None,
+        waited_ms=0.0,
+        memory_kb=0.0,
+        caller_id=0,
+        work_hint_ms=None,
+        has_cache_key=False,
+        is_duplicate=False,
+        is_retry=False,
+        is_write=False,
+        rpc_id=b"",
+        method_name=entry.dedup_key[0],
+        body=b"",
+        connection=NO_INDEX,
+        message_id=0,
+        dedup_key=entry.dedup_key,
+        is_answered=True,
+        is_closed=True,
+    )
--- a/landingshift/hot_restart/state_import.py
+++ b/landingshift/hot_restart/state_import.py
@@ -27,6 +27,7 @@
     StoredCommand,
     StoredConnection,
     StoredDatabaseLink,
+    StoredDedupEntry,
     StoredRpc,
     StoredState,
     StoredStream,
@@ -35,7 +36,7 @@
 from landingshift.net.protocol import engine as engine_wire
 from landingshift.net.routing.database_pool import MAX_UNSENT_BYTES as DATABASE_MAX_UNSENT_BYTES
 from landingshift.net.routing.database_pool import DatabaseCall, DatabaseLink
-from landingshift.net.routing.dedup import ENTRY_BYTES, DedupEntry
+from landingshift.net.routing.dedup import DedupEntry
 from landingshift.net.routing.engine_commands import EngineCommand
 from landingshift.net.routing.engine_link import MAX_UNSENT_BYTES as ENGINE_MAX_UNSENT_BYTES
 from landingshift.net.routing.engine_link import RECONNECT_DELAY_MS, GaugeQuery
@@ -206,27 +207,33 @@
         table = self._router.dedup
         entries: list[DedupEntry] = []
         for stored in self._state.dedup_entries:
-            entry = DedupEntry(
-                self._rpcs[stored.owner_index],
-                stored.expires_ms,
-                Outcome(stored.outcome) if stored.outcome is not None else None,
-                stored.ended_ms,
-                run_time_ms=stored.run_time_ms,
-                result=stored.result,
-            )
-            dedup_key = entry.owner.dedup_key
-            assert dedup_key is not None
-            table.entries[dedup_key] = entry
-            table.used_bytes += ENTRY_BYTES + len(stored.result or b"")
+            entry = self._restore_dedup_entry(stored)
+            table.add(entry)
             entries.append(entry)
         for rpc, stored_rpc in zip(self._rpcs, self._state.rpcs, strict=True):
             if stored_rpc.original_index < 0:
                 continue
             original = entries[stored_rpc.original_index]
             table.link_duplicate(rpc, original)
-            if stored_rpc.waits_for_original:
+            if stored_rpc.waits_for_original and original.waiters is not None:
                 original.waiters[rpc] = None
 
+    def _restore_dedup_entry(self, stored: StoredDedupEntry) -> DedupEntry:
+        owner = self._rpcs[stored.owner_index]
+        assert owner.dedup_key is not None
+        has_ended = stored.outcome is not None
+        return DedupEntry(
+            owner.dedup_key,
+            owner.method,
+            None if owner.is_closed else owner,
+            stored.expires_ms,
+            Outcome(stored.outcome) if has_ended else None,
+            stored.ended_ms,
+            run_time_ms=stored.run_time_ms,
+            result=stored.result,
+            waiters=None if has_ended else {},
+        )
+
     def _add_database_links(self) -> None:
         links = [self._restore_link(stored) for stored in self._state.database_links]
         for rpc, stored_rpc in zip(self._rpcs, self._state.rpcs, strict=True):
--- a/landingshift/net/routing/actions.py
+++ b/landingshift/net/routing/actions.py
@@ -117,11 +117,15 @@
                 # The RPC never ran, so it will have no outcome. Without this call, the duplicates that
                 # wait for the outcome would never be answered.
                 self.duplicates.drop_unrun(entry)
+        self.dedup.release_owner(rpc)
         if rpc.is_duplicate:
             self.dedup.unlink_duplicate(rpc)
         self.engine.commands.forget(rpc)
         self.database.forget_rpc(rpc)
         rpc.managed = None  # breaks a reference cycle, so that memory is freed immediately
+        # The controller keeps a record of the RPC until its deduplication window ends.
+        rpc.body = b""
+        rpc.call_request = b""
         self.table.remove(rpc)
         self.observers.notify("on_closed", rpc)
 
--- a/landingshift/net/routing/duplicates.py
+++ b/landingshift/net/routing/duplicates.py
@@ -48,7 +48,7 @@
     def await_original(self, rpc: RoutedRpc) -> None:
         """Answers the duplicate `rpc` now if its original has ended, otherwise once the original ends."""
         entry = self.dedup.originals[rpc]
-        if entry.outcome is None:
+        if entry.waiters is not None:
             entry.waiters[rpc] = None
         else:
             self._defer_answer(rpc, entry)
--- a/landingshift/net/routing/rpc_intake.py
+++ b/landingshift/net/routing/rpc_intake.py
@@ -85,11 +85,14 @@
             connection.answer(request.message_id, data)
             return
         dedup_key = _dedup_key(request.method, checked)
-        is_flood = not connection.is_verified and len(self.table) >= MAX_RPCS_WITH_UNVERIFIED
-        if self.driver.controller is None or is_flood:
+        lacks_room = dedup_key is not None and not self._has_dedup_room(dedup_key, checked.read_ms)
+        if self._must_refuse(connection, checked.method, lacks_room):
             self._answer_not_accepted(connection, request, checked.method, dedup_key)
             return
         rpc = _make_rpc(connection, request, checked, dedup_key)
+        if lacks_room:
+            rpc.dedup_key = None
+            rpc.has_cache_key = False
         original = self.dedup.find(rpc, checked.read_ms, checked.arrived_ms)
         if original is not None:
             rpc.is_duplicate = True
@@ -132,6 +135,21 @@
 
     # Requests that are not accepted
 
+    def _must_refuse(self, connection: GatewayConnection, method: Method, lacks_dedup_room: bool) -> bool:
+        """Return whether a valid request cannot be accepted.
+
+        A request whose duplicates must be recognized is not accepted if there is no room for its entry. Any
+        other request is accepted without a deduplication key then.
+        """
+        is_flood = not connection.is_verified and len(self.table) >= MAX_RPCS_WITH_UNVERIFIED
+        is_unprotected = lacks_dedup_room and method.idempotency is Idempotency.KEYED
+        return self.driver.controller is None or is_flood or is_unprotected
+
+    def _has_dedup_room(self, dedup_key: DedupKey, now_ms: float) -> bool:
+        controller = self.driver.controller
+        rpc_record_count = controller.dedup_entry_count if controller is not None else 0
+        return self.dedup.has_room(dedup_key, now_ms, rpc_record_count)
+
     def _answer_invalid(self, connection: GatewayConnection, request: wire.Request, field: str) -> None:
         if connection.is_verified and not connection.invalid_count:
             # Only the first invalid request is logged. The number of invalid requests is logged when the
@@ -147,7 +165,9 @@
         method: Method,
         dedup_key: DedupKey | None,
     ) -> None:
-        """Rejects a valid request that is not accepted, because no engine is up or too many RPCs are open.
+        """Rejects a valid request that is not accepted.
+
+        No engine is up, too many RPCs are open, or the deduplication table is full.
 
         A duplicate of an RPC that might have run and must not run twice is aborted instead.
         """
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from landingshift.net.protocol import engine, gateway
 from landingshift.net.protocol.lines import ProtocolError
 from landingshift.net.routing.database_pool import DatabasePool
-from landingshift.net.routing.dedup import ENTRY_BYTES, DedupTable
+from landingshift.net.routing.dedup import ENTRY_BYTES, FULL_FRACTION, DedupTable
 from landingshift.net.routing.engine_link import EngineLink
 from landingshift.net.routing.health import HealthReporter
 from landingshift.net.routing.rpc_record import RoutedRpc
@@ -137,6 +137,34 @@
                 )
                 self.assertIsNotNone(table.find(routed_rpc(200, idempotency, "99"), 200.0, 200.0))
 
+    def test_entries_are_removed_once_no_duplicate_can_refer_to_them(self) -> None:
+        # Guards against entries that stay until the table is full, so that its memory grows without end.
+        table = DedupTable(1 << 30, response_cache_ttl_ms=60000.0, max_age_ms=1000.0)
+        for i in range(1000):
+            rpc = routed_rpc(i, Idempotency.KEYED, str(i))
+            table.reserve(rpc, 10.0 * i + 500.0)
+            entry = table.owned_by(rpc)
+            assert entry is not None
+            table.complete(entry, Outcome.OK, b"r", 10.0 * i)
+            self.assertLessEqual(len(table.entries), 151)  # 1,500 ms of RPCs, and the newest
+
+    def test_full_table_has_no_room_until_entries_expire(self) -> None:
+        # Guards against a table that grows over its bound while all entries are within their windows.
+        table = DedupTable(20 * (ENTRY_BYTES + 100), response_cache_ttl_ms=60000.0)
+        count = 0
+        while table.has_room((b"m", str(count)), 0.0, 0):
+            rpc = routed_rpc(count, Idempotency.KEYED, str(count))
+            table.reserve(rpc, 5000.0)
+            entry = table.owned_by(rpc)
+            assert entry is not None
+            table.complete(entry, Outcome.OK, bytes(1000), 0.0)
+            self.assertLessEqual(table.used_bytes, table.max_bytes)
+            count += 1
+        self.assertGreaterEqual(count, 20 * FULL_FRACTION)
+        self.assertTrue(table.has_room((b"m", "0"), 0.0, 0))  # a duplicate needs no new entry
+        self.assertTrue(table.has_room((b"m", str(count)), 5000.0, 0))
+        self.assertFalse(table.has_room((b"m", str(count)), 5000.0, 1 << 20))  # records of the controller
+
     def test_entry_lifetime_depends_on_outcome_and_idempotency(self) -> None:
         for idempotency, outcome, now_ms, is_known in [
             (Idempotency.IDEMPOTENT, Outcome.OK, 600.0, True),
