An incomplete message is scanned for its end instead of being decoded for each piece

Cause: MessageDecoder keeps no parser between reads and decoded the whole incomplete message again with each piece, up to 16 KB each time. One message of 2.4 KB in pieces of a byte was decoded 2,363 times. Change: MessageScanner finds the end of an incomplete message and looks at each byte once. More than 512 elements in an incomplete message are malformed. The undecoded input of all connections is bounded by an eighth of the memory; above that the longest is cut off, first one on which no answer is owed. UnsentBudget is ByteBudget, since both bounds use it. Why it works: the work for a message depends on its size, not on the number of its pieces. The tests fail before: 2,363 decodings where 3 are wanted; no failure for many elements; no connection is cut off.

--- a/landingshift/hot_restart/state_import.py
+++ b/landingshift/hot_restart/state_import.py
@@ -46,7 +46,7 @@
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.routing.server_config import ServerConfig
 from landingshift.net.transport.loop import Loop
-from landingshift.net.transport.stream import READS_PER_PASS, Stream, StreamOwner, UnsentBudget
+from landingshift.net.transport.stream import READS_PER_PASS, ByteBudget, Stream, StreamOwner
 
 
 class StateImporter:
@@ -134,7 +134,7 @@
         stored: StoredStream,
         owner: StreamOwner,
         max_unsent_bytes: int,
-        unsent_budget: UnsentBudget | None = None,
+        unsent_budget: ByteBudget | None = None,
         reads_per_pass: int = READS_PER_PASS,
     ) -> Stream:
         stream = Stream(
@@ -188,7 +188,7 @@
                 reads_per_pass=1,
             )
         )
-        connection.decoder.buffer = stored.undecoded
+        connection.restore_undecoded(stored.undecoded)
         for name, value in attribute_values(stored.attributes, CONNECTION_NAMES).items():
             setattr(connection, name, value)
         connection.rpcs = {number: self._rpcs[index] for number, index in stored.rpc_indexes.items()}
--- a/landingshift/net/protocol/gateway.py
+++ b/landingshift/net/protocol/gateway.py
@@ -10,6 +10,7 @@
 
 from landingshift.errors import LandingshiftError
 from landingshift.net.protocol.lines import ProtocolError
+from landingshift.net.protocol.message_scanner import MessageScanner, ScanState
 
 MAX_BODY_BYTES = 2048
 MAX_MESSAGE_BYTES = 16384
@@ -120,11 +121,12 @@
     """Decodes the messages that arrive on one connection.
 
     Between calls of `feed`, the decoder keeps only undecoded bytes and no parser, because parsers are large
-    and most connections are idle.
+    and most connections are idle. An incomplete message is not decoded again until it is complete.
     """
 
     def __init__(self) -> None:
         self.buffer = b""  # received bytes of an incomplete message
+        self.scanner: MessageScanner | None = None  # of the incomplete message; None if there is none
 
     def feed(self, data: bytes) -> list[Message]:
         """Adds received bytes and returns the messages that are now complete.
@@ -138,9 +140,21 @@
                 pass
             else:
                 return [message] if message is not None else []
-        return self._feed_incrementally(self.buffer + data)
-
-    def _feed_incrementally(self, data: bytes) -> list[Message]:
+        self.buffer += data
+        if self.scanner is not None:
+            return self._continue_message(self.scanner)
+        return self._decode_buffer()
+
+    def _continue_message(self, scanner: MessageScanner) -> list[Message]:
+        """Returns the messages in the buffer, which began with an incomplete message."""
+        state = scanner.scan(self.buffer)
+        if state is ScanState.COMPLETE:
+            return self._decode_buffer()
+        return self._failures(state)
+
+    def _decode_buffer(self) -> list[Message]:
+        """Returns the messages in the buffer; the rest is the beginning of an incomplete message."""
+        data = self.buffer
         messages: list[Message] = []
         unpacker = msgpack.Unpacker(max_buffer_size=len(data) + 1024, read_size=1024, **PARSER_LIMITS)
         end = 0
@@ -156,9 +170,17 @@
         except Exception:  # msgpack raises various types for malformed bytes
             return [*messages, ProtocolFailure("garbage")]
         self.buffer = data[end:]
+        self.scanner = MessageScanner() if self.buffer else None
+        state = self.scanner.scan(self.buffer) if self.scanner else ScanState.INCOMPLETE
+        return [*messages, *self._failures(state)]
+
+    def _failures(self, state: ScanState) -> list[Message]:
+        """Returns the failure to report for the incomplete message, if it can't become a valid one."""
+        if state is ScanState.MALFORMED:
+            return [ProtocolFailure("garbage")]
         if len(self.buffer) > MAX_MESSAGE_BYTES:
-            return [*messages, ProtocolFailure("oversized")]
-        return messages
+            return [ProtocolFailure("oversized")]
+        return []
 
 
 def _decode(value: Any) -> Message | None:
--- a/landingshift/net/routing/gateway_connection.py
+++ b/landingshift/net/routing/gateway_connection.py
@@ -19,7 +19,7 @@
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
-from landingshift.net.transport.stream import Stream
+from landingshift.net.transport.stream import ByteBudget, Stream
 
 MAX_OPEN_RPCS = 32  # maximum number of open RPCs on one connection
 MAX_ANSWER_BYTES = 5000  # assumed maximum size of one answer
@@ -55,6 +55,7 @@
     log: Callable[..., None]
     connections: Slots[GatewayConnection]
     idle_limit_ms: float  # time after which an idle verified connection gets goaway
+    undecoded_budget: ByteBudget  # bound on the undecoded input of all connections
     events: GatewayEvents = field(init=False)  # set before the loop runs
     is_draining: bool = False
 
@@ -113,7 +114,9 @@
 
     def on_data(self, data: bytes) -> None:
         """Decodes received bytes and handles the messages in them."""
+        undecoded_before = len(self.decoder.buffer)
         messages = self.decoder.feed(data)
+        self.context.undecoded_budget.add(len(self.decoder.buffer) - undecoded_before)
         if messages:
             self.last_message_ms = self.loop.now_ms
             self.partial_since_ms = 0.0
@@ -125,6 +128,11 @@
             self.partial_since_ms = self.loop.now_ms
             self._check_after(MAX_MESSAGE_MS)
 
+    def restore_undecoded(self, data: bytes) -> None:
+        """Restores the input that another process has received and not decoded."""
+        self.decoder.buffer = data
+        self.context.undecoded_budget.add(len(data))
+
     def _on_message(self, message: wire.Message) -> None:
         if isinstance(message, wire.CancelNotification):
             rpc = self.rpcs.pop(message.message_id, None)
@@ -157,6 +165,7 @@
     def on_closed(self, reason: str) -> None:
         """Logs that the connection is closed, and abandons its open RPCs."""
         self.context.connections.drop(self.slot)
+        self._discard_undecoded()
         self.loop.cancel(self.timer)
         self.context.log(
             "connection",
@@ -220,9 +229,14 @@
         reset, which can discard answers that the peer has not read.
         """
         self.cut_off_count += len(self.rpcs)
+        self._discard_undecoded()
         self._abandon_rpcs()
         self.stream.close_gracefully(reason)
 
+    def _discard_undecoded(self) -> None:
+        self.context.undecoded_budget.add(-len(self.decoder.buffer))
+        self.decoder = wire.MessageDecoder()
+
     def close_now(self, reason: str) -> None:
         """Closes the connection immediately; called only if no answer is owed on it."""
         self.stream.flush()
--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -20,8 +20,8 @@
 from landingshift.net.transport.slots import Slots
 from landingshift.net.transport.stream import (
     Address,
+    ByteBudget,
     Stream,
-    UnsentBudget,
 )
 
 # Gateways close connections that have been idle for a limit of their own. By default, this server's idle
@@ -39,6 +39,7 @@
         address: The address at which gateways connect.
         max_connections: The maximum number of open connections.
         max_unsent_bytes: The maximum total size of the unsent answers on all connections.
+        max_undecoded_bytes: The maximum total size of the undecoded input of all connections.
         idle_limit_ms: The idle time after which gateways close their connections themselves.
         log: Receives events on closed connections and on a full connection table.
         sock: The listening socket of the old process in a hot restart; otherwise None.
@@ -50,6 +51,7 @@
         address: Address,
         max_connections: int,
         max_unsent_bytes: int,
+        max_undecoded_bytes: int,
         idle_limit_ms: float,
         log: Callable[..., None],
         sock: socket.socket | None = None,
@@ -59,8 +61,14 @@
         self.log = log
         self.gateway_idle_limit_ms = idle_limit_ms
         self.connections: Slots[GatewayConnection] = Slots()
-        self.context = ConnectionContext(loop, log, self.connections, idle_limit_ms * IDLE_LIMIT_FACTOR)
-        self.unsent_budget = UnsentBudget(max_unsent_bytes, self._drop_slowest_reader)
+        self.context = ConnectionContext(
+            loop,
+            log,
+            self.connections,
+            idle_limit_ms * IDLE_LIMIT_FACTOR,
+            ByteBudget(max_undecoded_bytes, self._drop_longest_input),
+        )
+        self.unsent_budget = ByteBudget(max_unsent_bytes, self._drop_slowest_reader)
         self.is_full = False
         self.listener = Listener(loop, address, self._has_capacity, self._accept, sock)
 
@@ -152,6 +160,21 @@
         if slowest.stream.output:
             slowest.stream.close("stalled")
 
+    def _drop_longest_input(self) -> None:
+        """Cuts off the connection with the most undecoded input, to bound the memory that slow writers use.
+
+        Connections on which no answer is owed are cut off first, and of these the unverified ones.
+        """
+        longest = max(
+            (connection for connection in self.connections if connection.decoder.buffer),
+            key=lambda connection: (
+                not connection.rpcs,
+                not connection.is_verified,
+                len(connection.decoder.buffer),
+            ),
+        )
+        longest.cut_off("unfinished")
+
     def set_idle_limit(self, idle_limit_ms: float) -> None:
         """Sets the time after which an idle verified connection gets goaway.
 
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -35,6 +35,7 @@
 MIN_CONNECTIONS = 8
 DEDUP_MEMORY_FRACTION = 0.25  # fraction of the memory limit for the deduplication table
 UNSENT_MEMORY_FRACTION = 0.25  # fraction of the memory limit for answers that gateways have not read
+UNDECODED_MEMORY_FRACTION = 0.125  # fraction of the memory limit for requests that are not decoded yet
 BYTES_PER_MB = 1048576.0
 
 
@@ -223,6 +224,7 @@
         config.listen,
         max_connections=max(MIN_CONNECTIONS, max_sockets - RESERVED_DESCRIPTOR_COUNT),
         max_unsent_bytes=int(config.memory_mb * UNSENT_MEMORY_FRACTION * BYTES_PER_MB),
+        max_undecoded_bytes=int(config.memory_mb * UNDECODED_MEMORY_FRACTION * BYTES_PER_MB),
         idle_limit_ms=config.settings.connection_idle_timeout_ms,
         log=log,
         sock=listener,
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -56,12 +56,12 @@
 NULL_OWNER = NullOwner()
 
 
-class UnsentBudget:
-    """A shared bound on the unsent output of several streams.
+class ByteBudget:
+    """A shared bound on bytes that several streams hold, for example on their unsent output.
 
     Args:
-        max_bytes: The bound on the total unsent output of the streams.
-        on_exceeded: Called when the bound is exceeded; reduces the output, for example by closing streams.
+        max_bytes: The bound on the total of the bytes.
+        on_exceeded: Called when the bound is exceeded; reduces the total, for example by closing streams.
     """
 
     def __init__(self, max_bytes: int, on_exceeded: Callable[[], None]) -> None:
@@ -70,7 +70,7 @@
         self.used_bytes = 0
 
     def add(self, count: int) -> None:
-        """Adds `count` queued bytes; a negative count subtracts bytes that were sent or discarded."""
+        """Adds `count` bytes; a negative count subtracts bytes that are not held any more."""
         self.used_bytes += count
         if count > 0 and self.used_bytes > self.max_bytes:
             self.on_exceeded()
@@ -106,7 +106,7 @@
         owner: StreamOwner,
         max_unsent_bytes: int,
         is_connecting: bool = False,
-        unsent_budget: UnsentBudget | None = None,
+        unsent_budget: ByteBudget | None = None,
         reads_per_pass: int = READS_PER_PASS,
     ) -> None:
         self.loop = loop
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -47,14 +47,24 @@
     """The server's gateway connections on a loop whose passes the test runs."""
 
     def __init__(
-        self, case: unittest.TestCase, max_connections: int = 64, idle_limit_ms: float = 30000.0
+        self,
+        case: unittest.TestCase,
+        max_connections: int = 64,
+        idle_limit_ms: float = 30000.0,
+        max_undecoded_bytes: int = 1 << 26,
     ) -> None:
         self.test, self.events, self.close_reasons = case, RecordedGatewayEvents(), list[str]()
         self.loop = Loop(lambda: case.fail("a handler raised"))
         self.clock_lead_ms = 0.0  # of the loop's clock over the system's
         case.enterContext(mock.patch.object(self.loop, "clock_ms", self.clock_ms))
         self.gateways = Gateways(
-            self.loop, ("127.0.0.1", 0), max_connections, 1 << 26, idle_limit_ms, log=self.log
+            self.loop,
+            ("127.0.0.1", 0),
+            max_connections,
+            1 << 26,
+            max_undecoded_bytes,
+            idle_limit_ms,
+            log=self.log,
         )
         self.gateways.start(self.events)
         case.addCleanup(self.gateways.listener.close)
@@ -183,6 +193,29 @@
             connection.stream.close_reason, "goaway"
         )  # a slow reader cannot stay connected for ever
 
+    def test_undecoded_input_of_all_connections_is_bounded(self) -> None:
+        # Guards against hundreds of clients that stop half way through a large request.
+        harness = GatewaysUnderTest(self, max_undecoded_bytes=30000)
+        answer_is_owed, _ = owed = harness.connect(is_verified=True)
+        answer_is_owed.sendall(rpc_request() + rpc_request(2)[:9])
+        harness.run_passes_until(lambda: owed[1].decoder.buffer)
+        incomplete = msgpack.packb([0, 1, "m", [{}, bytes(12000)]])[:-1]
+        senders = []
+        for is_verified in (True, False, True):
+            senders.append(harness.connect(is_verified))
+            senders[-1][0].sendall(incomplete)
+            harness.run_passes_until(lambda: len(senders[-1][1].decoder.buffer) in (0, len(incomplete)))
+        harness.run_passes_until(lambda: senders[1][1].stream.close_reason)
+        self.assertEqual(
+            [connection.stream.close_reason for _, connection in [owed, *senders]], ["", "", "unfinished", ""]
+        )
+        budget = harness.gateways.context.undecoded_budget
+        harness.run_passes_until(lambda: budget.used_bytes == 9 + 2 * len(incomplete))
+        for peer, _ in [owed, *senders]:
+            peer.close()
+        harness.run_passes_until(lambda: len(harness.gateways.connections) == 0)
+        self.assertEqual(budget.used_bytes, 0)
+
     def test_requests_after_the_half_close_are_ignored(self) -> None:
         harness = GatewaysUnderTest(self)
         peer, connection = harness.connect(is_verified=True)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,11 +10,15 @@
 from typing import Any
 from unittest import mock
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from landingshift.admission.interface import Idempotency, Outcome
 from landingshift.net.program import config
 from landingshift.net.program.log import EventLog
 from landingshift.net.protocol import engine, gateway
 from landingshift.net.protocol.lines import ProtocolError
+from landingshift.net.protocol.message_scanner import MessageScanner, ScanState
 from landingshift.net.routing.database_pool import DatabasePool
 from landingshift.net.routing.dedup import ENTRY_BYTES, FULL_FRACTION, DedupTable
 from landingshift.net.routing.engine_link import EngineLink
@@ -116,6 +120,47 @@
         self.assertEqual(messages, [gateway.ProtocolFailure("oversized")])
         self.assertLess(len(decoder.buffer), 20000)
 
+    def test_message_that_arrives_byte_by_byte_is_decoded_once(self) -> None:
+        # Guards against a decoder that decodes all bytes again for each piece: hundreds of clients that
+        # wrote slowly kept the process busy, and others got their answers late.
+        message = gateway.pack([0, 1, "m", [{f"k{i}": "v" for i in range(60)}, bytes(2000)]])
+        decoder = gateway.MessageDecoder()
+        with mock.patch.object(gateway, "msgpack", wraps=gateway.msgpack) as msgpack:
+            messages = [found for byte in message for found in decoder.feed(bytes([byte]))]
+        self.assertEqual([found.message_id for found in messages], [1])  # type: ignore[union-attr]
+        # Once for the first byte, as a whole message and as a part of one, and once when it is complete.
+        self.assertEqual(msgpack.Unpacker.call_count + msgpack.unpackb.call_count, 3)
+
+    def test_incomplete_message_with_very_many_elements_is_malformed(self) -> None:
+        # Guards against heads of very many short fields, whose decoding takes long for their size.
+        decoder = gateway.MessageDecoder()
+        head = b"\x94\x00\x01\xa1m\xdc\x00\x40" + (b"\xdc\x00\x40" + b"\xa1a" * 64) * 63
+        self.assertEqual(decoder.feed(head[:300]), [])
+        self.assertEqual(decoder.feed(head[300:]), [gateway.ProtocolFailure("garbage")])
+
+    @settings(max_examples=200)
+    @given(
+        st.recursive(
+            st.none()
+            | st.booleans()
+            | st.integers(-(1 << 63), (1 << 64) - 1)
+            | st.floats(allow_nan=False)
+            | st.text(max_size=300)
+            | st.binary(max_size=300),
+            lambda values: (
+                st.lists(values, max_size=20) | st.dictionaries(st.text(max_size=40), values, max_size=20)
+            ),
+            max_leaves=40,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_scanner_finds_the_end_of_any_message(self, value: Any, random: Any) -> None:
+        data = gateway.pack(value)
+        scanner = MessageScanner()
+        for end in sorted(random.sample(range(len(data)), min(8, len(data)))):
+            self.assertEqual(scanner.scan(data[:end]), ScanState.INCOMPLETE)
+        self.assertEqual((scanner.scan(data + b"next"), scanner.position), (ScanState.COMPLETE, len(data)))
+
 
 class DedupTableTest(unittest.TestCase):
     def test_full_table_drops_results_but_remembers_effects(self) -> None:
