A connection has its input handled in turns; a busy loop is not taken for a pause

Cause: the loop handled all that a read brought, up to 500 messages of a connection; admission limits only what runs. Such a pass was taken for a pause of the process, and the loop read up to 16 times more before it decided and answered. RPCs beyond a turn start after all others (Rpc.is_excess), since by their age they would start first. Catching up ends after 20 ms; 16 accepts a read, not 64. Why it works: the time that no limit decides about is bounded, whatever is sent; what waits is handled in order.

--- a/landingshift/admission/controller.py
+++ b/landingshift/admission/controller.py
@@ -128,9 +128,10 @@
         now_ms = self.state.now_ms
         managed = ManagedRpc(rpc, self.service_times[rpc.method], now_ms)
         self.tenants.record(rpc.tenant)
-        self.callers.record(rpc)
         self.retries.record(rpc)
-        self.backpressure.record_read(rpc.waited_ms)
+        if not rpc.is_excess:
+            self.callers.record(rpc)
+            self.backpressure.record_read(rpc.waited_ms)
         self.draining.shorten_deadline(managed)
         self.order.record_arrival(managed)
         self.lifecycle.begin(managed)
--- a/landingshift/admission/interface.py
+++ b/landingshift/admission/interface.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
@@ -192,6 +192,9 @@
     is_write: bool
     """Whether the RPC changes state, so that its result must not be reused for other RPCs. Only the simulator
     sets this field. In the server it is always False, because the protocol has no such flag."""
+    is_excess: bool = field(default=False, kw_only=True)
+    """Whether the RPC arrived on a connection that sends more than the program handles at once. Such an RPC
+    starts after all others, and is not counted in the statistics from which advertised loads are computed."""
 
 
 @dataclass(slots=True)
--- a/landingshift/admission/start_order.py
+++ b/landingshift/admission/start_order.py
@@ -31,7 +31,7 @@
     """Computes the priorities of RPCs, and the priority floor below which no RPC starts.
 
     Attributes:
-        arrival_priorities: Priorities of all RPCs that were read in the last 2 s.
+        arrival_priorities: Priorities of all RPCs that were read in the last 2 s and are not in excess.
         starts: One value for each RPC that was started in the last 2 s.
         priority_floor: Minimum priority of RPCs that may start; 0 without overload.
     """
@@ -56,9 +56,10 @@
         return value / max(MIN_EXPECTED_WORK_MS, managed.service_times.mean_own_ms)
 
     def record_arrival(self, managed: ManagedRpc) -> None:
-        """Computes the priority of an RPC that was read, and records it."""
+        """Computes the priority of an RPC that was read, and records it unless the RPC is in excess."""
         managed.priority = self.priority(managed)
-        self.arrival_priorities.add(self._server.now_ms, managed.priority)
+        if not managed.rpc.is_excess:
+            self.arrival_priorities.add(self._server.now_ms, managed.priority)
 
     def record_start(self) -> None:
         """Records the start of an RPC."""
@@ -79,12 +80,19 @@
 
     @staticmethod
     def sort(rpcs: Iterable[ManagedRpc], newest_first: bool) -> list[ManagedRpc]:
-        """Returns the RPCs sorted by descending priority.
+        """Returns the RPCs sorted by descending priority; those in excess come after all others.
 
         RPCs of equal priority are sorted by arrival time, the newest or the oldest first.
         """
         arrival_sign = -1.0 if newest_first else 1.0
-        return sorted(rpcs, key=lambda managed: (-managed.priority, arrival_sign * managed.arrived_at_ms))
+        return sorted(
+            rpcs,
+            key=lambda managed: (
+                managed.rpc.is_excess,
+                -managed.priority,
+                arrival_sign * managed.arrived_at_ms,
+            ),
+        )
 
     def update_floor(self, is_saturated: bool, failed_count: int) -> None:
         """Sets the priority floor under overload, and removes it otherwise.
--- a/landingshift/net/protocol/gateway.py
+++ b/landingshift/net/protocol/gateway.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
 import msgpack
+from msgpack import FormatError, StackError
 
 from landingshift.errors import LandingshiftError
 from landingshift.net.protocol.lines import ProtocolError
-from landingshift.net.protocol.message_scanner import MessageScanner, ScanState
+from landingshift.net.protocol.message_scanner import (
+    MAX_ENTRIES,
+    MessageScanner,
+    ScanState,
+)
 
 MAX_BODY_BYTES = 2048
 MAX_MESSAGE_BYTES = 16384
@@ -27,8 +33,8 @@
 PARSER_LIMITS = {
     "max_str_len": 1024,
     "max_bin_len": MAX_MESSAGE_BYTES,
-    "max_array_len": 64,
-    "max_map_len": 64,
+    "max_array_len": MAX_ENTRIES,
+    "max_map_len": MAX_ENTRIES,
     "max_ext_len": 0,
 }
 
@@ -120,59 +126,76 @@
 class MessageDecoder:
     """Decodes the messages that arrive on one connection.
 
-    Between calls of `feed`, the decoder keeps only undecoded bytes and no parser, because parsers are large
-    and most connections are idle. An incomplete message is not decoded again until it is complete.
+    Between calls, the decoder keeps only undecoded bytes and no parser, because parsers are large and most
+    connections are idle. An incomplete message is not decoded again until it is complete.
     """
 
     def __init__(self) -> None:
-        self.buffer = b""  # received bytes of an incomplete message
-        self.scanner: MessageScanner | None = None  # of the incomplete message; None if there is none
+        self.buffer = b""  # received bytes that are not decoded yet
+        self.scanner: MessageScanner | None = None  # set if the buffer begins with an incomplete message
+
+    @property
+    def may_have_messages(self) -> bool:
+        """Returns whether complete messages can be in the buffer."""
+        return bool(self.buffer) and self.scanner is None
 
     def feed(self, data: bytes) -> list[Message]:
         """Adds received bytes and returns the messages that are now complete.
 
         If the bytes after these messages are malformed, a `ProtocolFailure` is the last element.
         """
-        if not self.buffer:
+        self.receive(data)
+        return [message for message in self.messages() if message is not None]
+
+    def receive(self, data: bytes) -> None:
+        """Adds received bytes."""
+        self.buffer = self.buffer + data if self.buffer else data
+
+    def messages(self) -> Iterator[Message | None]:
+        """Yields the complete messages; None stands for a notification that this server ignores.
+
+        If the bytes after these messages are malformed, a `ProtocolFailure` is the last element. If the
+        caller stops early, the messages that were not yielded stay in the buffer.
+        """
+        if self.scanner is None:
             try:
-                message = _decode(msgpack.unpackb(data, **PARSER_LIMITS))
+                message = _decode(msgpack.unpackb(self.buffer, **PARSER_LIMITS))
+            except (FormatError, StackError):
+                yield ProtocolFailure("garbage")
+                return
             except Exception:  # not exactly one complete message; decoded below
-                pass
+                self.scanner = MessageScanner()
             else:
-                return [message] if message is not None else []
-        self.buffer += data
-        if self.scanner is not None:
-            return self._continue_message(self.scanner)
-        return self._decode_buffer()
-
-    def _continue_message(self, scanner: MessageScanner) -> list[Message]:
-        """Returns the messages in the buffer, which began with an incomplete message."""
-        state = scanner.scan(self.buffer)
+                self.buffer = b""
+                yield message
+                return
+        state = self.scanner.scan(self.buffer)
         if state is ScanState.COMPLETE:
-            return self._decode_buffer()
-        return self._failures(state)
-
-    def _decode_buffer(self) -> list[Message]:
-        """Returns the messages in the buffer; the rest is the beginning of an incomplete message."""
-        data = self.buffer
-        messages: list[Message] = []
-        unpacker = msgpack.Unpacker(max_buffer_size=len(data) + 1024, read_size=1024, **PARSER_LIMITS)
+            yield from self._decode_buffer()
+        else:
+            yield from self._failures(state)
+
+    def _decode_buffer(self) -> Iterator[Message | None]:
+        """Yields the messages in the buffer; the rest is the beginning of an incomplete message."""
+        self.scanner = None
+        unpacker = msgpack.Unpacker(max_buffer_size=len(self.buffer) + 1024, read_size=1024, **PARSER_LIMITS)
         end = 0
         try:
-            unpacker.feed(data)
+            unpacker.feed(self.buffer)
             for value in unpacker:
                 end = unpacker.tell()
-                message = _decode(value)
-                if message is not None:
-                    messages.append(message)
+                yield _decode(value)
         except ProtocolError as err:
-            return [*messages, ProtocolFailure(err.reason)]
+            yield ProtocolFailure(err.reason)
+            return
         except Exception:  # msgpack raises various types for malformed bytes
-            return [*messages, ProtocolFailure("garbage")]
-        self.buffer = data[end:]
+            yield ProtocolFailure("garbage")
+            return
+        finally:
+            self.buffer = self.buffer[end:]
         self.scanner = MessageScanner() if self.buffer else None
         state = self.scanner.scan(self.buffer) if self.scanner else ScanState.INCOMPLETE
-        return [*messages, *self._failures(state)]
+        yield from self._failures(state)
 
     def _failures(self, state: ScanState) -> list[Message]:
         """Returns the failure to report for the incomplete message, if it can't become a valid one."""
--- a/landingshift/net/protocol/message_scanner.py
+++ b/landingshift/net/protocol/message_scanner.py
@@ -1,7 +1,8 @@
 """Finds the end of a MessagePack message whose bytes arrive in pieces, without decoding it for each piece.
 
-Guarantee: each byte is examined at most once, and a message has at most `MAX_ELEMENTS` elements. The work for
-a message therefore does not depend on the number of pieces in which it arrives.
+Guarantee: each byte is examined at most once, and at most `MAX_ELEMENTS` elements are examined. The work for
+a message therefore does not depend on the number of pieces in which it arrives. A message with more elements
+never counts as complete.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 from typing import NamedTuple
 
 MAX_ELEMENTS = 512  # a request with all its fields has a quarter of this
-MAX_CHILDREN = 128  # of one array or map; a map of 64 entries has 64 keys and 64 values
+MAX_ENTRIES = 64  # of one array or map
 
 
 class ScanState(Enum):
@@ -88,7 +89,9 @@
         size = len(data)
         while self.pending_elements and self.position < size:
             element = ELEMENT_FORMATS[data[self.position]]
-            if element is None or self.element_count >= MAX_ELEMENTS:
+            if self.element_count >= MAX_ELEMENTS:
+                return ScanState.INCOMPLETE
+            if element is None:
                 return ScanState.MALFORMED
             end = self.position + 1 + element.length_bytes
             if end > size:
@@ -97,10 +100,10 @@
             content_bytes = element.payload_bytes
             if element.length_bytes:
                 length = int.from_bytes(data[self.position + 1 : end], "big")
+                if element.children_per_entry and length > MAX_ENTRIES:
+                    return ScanState.MALFORMED
                 children = length * element.children_per_entry
                 content_bytes = 0 if element.children_per_entry else length
-            if children > MAX_CHILDREN:
-                return ScanState.MALFORMED
             self.position = end + content_bytes
             self.pending_elements += children - 1
             self.element_count += 1
--- a/landingshift/net/routing/gateway_connection.py
+++ b/landingshift/net/routing/gateway_connection.py
@@ -16,12 +16,16 @@
 
 from landingshift.net.protocol import gateway as wire
 from landingshift.net.routing.dedup import DedupEntry
+from landingshift.net.routing.input_backlog import InputBacklog
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
-from landingshift.net.transport.stream import ByteBudget, Stream
+from landingshift.net.transport.stream import READ_BYTES, ByteBudget, Stream
 
 MAX_OPEN_RPCS = 32  # maximum number of open RPCs on one connection
+# Maximum number of messages that open no RPC and are handled in one turn. A gateway may withdraw all its open
+# RPCs at once.
+MAX_MESSAGES_PER_TURN = MAX_OPEN_RPCS
 MAX_ANSWER_BYTES = 5000  # assumed maximum size of one answer
 MAX_UNSENT_BYTES = MAX_OPEN_RPCS * MAX_ANSWER_BYTES  # room for the answers to all open RPCs
 GOAWAY_GRACE_MS = 1500.0  # time for a gateway to close its connection after goaway
@@ -56,6 +60,7 @@
     connections: Slots[GatewayConnection]
     idle_limit_ms: float  # time after which an idle verified connection gets goaway
     undecoded_budget: ByteBudget  # bound on the undecoded input of all connections
+    backlog: InputBacklog
     events: GatewayEvents = field(init=False)  # set before the loop runs
     is_draining: bool = False
 
@@ -84,6 +89,11 @@
         last_message_ms: The time of the last complete message or the last written answer, whichever is later.
         partial_since_ms: The time at which the first part of an incomplete message was received; 0 if no
             message is incomplete.
+        undecoded_bytes: The number of received bytes counted in `ConnectionContext.undecoded_budget`.
+        turn_message_count: The number of messages handled in the present turn that opened no RPC.
+        is_waiting: Whether the connection waits for its next turn to have messages handled.
+        is_behind: Whether messages are handled late because the peer sent more than one turn allows.
+        has_unread_input: Whether the last read filled its buffer, so that there can be more input to read.
         accepted_pass: The number of the loop pass in which the connection was accepted.
     """
 
@@ -105,6 +115,11 @@
         self.accepted_ms = self.loop.now_ms
         self.last_message_ms = self.loop.now_ms
         self.partial_since_ms = 0.0
+        self.undecoded_bytes = 0
+        self.turn_message_count = 0
+        self.is_waiting = False
+        self.is_behind = False
+        self.has_unread_input = False
         self.stream = open_stream(self)
         self.slot = context.connections.put(self)
         self.accepted_pass = self.loop.read_count
@@ -113,25 +128,80 @@
     # Incoming messages
 
     def on_data(self, data: bytes) -> None:
-        """Decodes received bytes and handles the messages in them."""
-        undecoded_before = len(self.decoder.buffer)
-        messages = self.decoder.feed(data)
-        self.context.undecoded_budget.add(len(self.decoder.buffer) - undecoded_before)
-        if messages:
-            self.last_message_ms = self.loop.now_ms
-            self.partial_since_ms = 0.0
-        for message in messages:
-            if self.stream.close_reason:
-                return  # the previous message made this server close the connection
+        """Adds received bytes and handles the messages in them, as far as the connection's turn allows."""
+        self.decoder.receive(data)
+        self._count_undecoded()
+        if not self.has_unread_input:
+            self.turn_message_count = 0
+        self.has_unread_input = len(data) == READ_BYTES
+        if self.is_waiting:
+            return
+        if self.is_verified or self.context.backlog.may_handle_unverified():
+            self._handle_messages()
+        else:
+            self._wait_for_input()
+
+    def handle_input(self) -> None:
+        """Handles the messages of the connection's next turn, after it has waited for it."""
+        self.is_waiting = False
+        self.turn_message_count = 0
+        self._handle_messages()
+
+    def _handle_messages(self) -> None:
+        """Handles received messages until the connection has used up its turn.
+
+        At most `MAX_MESSAGES_PER_TURN` messages that open no RPC are handled in a turn. The number of open
+        RPCs is bounded, and the controller decides about them; nothing else limits the time that others
+        take. Without a wait, the next turn begins once all input of the connection has been read.
+        """
+        try:
+            for message in self.decoder.messages():
+                if self.stream.close_reason:
+                    return  # the previous message made this server close the connection
+                self._handle_message(message)
+                if self.turn_message_count >= MAX_MESSAGES_PER_TURN:
+                    return
+        finally:
+            self._count_undecoded()
+            self._wait_for_input()
+
+    def _handle_message(self, message: wire.Message | None) -> None:
+        self.last_message_ms = self.loop.now_ms
+        self.partial_since_ms = 0.0
+        open_count = len(self.rpcs)
+        if message is not None:
             self._on_message(message)
-        if self.decoder.buffer and not self.partial_since_ms and self.stream.is_open:
+        if len(self.rpcs) <= open_count:
+            self.turn_message_count += 1
+
+    def _wait_for_input(self) -> None:
+        """Waits for the next turn if there can be more messages, otherwise for more bytes."""
+        if self.stream.close_reason or not self.stream.is_open:
+            return
+        has_messages = self.decoder.may_have_messages
+        has_used_turn = self.turn_message_count >= MAX_MESSAGES_PER_TURN
+        self.is_behind = (self.is_behind or has_used_turn) and (has_messages or self.has_unread_input)
+        if has_messages:
+            self.is_waiting = True
+            self.stream.pause_reading()
+            self.context.backlog.add(self)
+            return
+        self.stream.resume_reading()
+        if self.decoder.buffer and not self.partial_since_ms:
             self.partial_since_ms = self.loop.now_ms
             self._check_after(MAX_MESSAGE_MS)
 
     def restore_undecoded(self, data: bytes) -> None:
-        """Restores the input that another process has received and not decoded."""
-        self.decoder.buffer = data
-        self.context.undecoded_budget.add(len(data))
+        """Restores input that another process has received and not decoded; handles it in a later pass."""
+        self.decoder.receive(data)
+        self._count_undecoded()
+        self._wait_for_input()
+
+    def _count_undecoded(self) -> None:
+        undecoded_bytes = len(self.decoder.buffer)
+        added_bytes = undecoded_bytes - self.undecoded_bytes
+        self.undecoded_bytes = undecoded_bytes
+        self.context.undecoded_budget.add(added_bytes)
 
     def _on_message(self, message: wire.Message) -> None:
         if isinstance(message, wire.CancelNotification):
@@ -234,8 +304,8 @@
         self.stream.close_gracefully(reason)
 
     def _discard_undecoded(self) -> None:
-        self.context.undecoded_budget.add(-len(self.decoder.buffer))
         self.decoder = wire.MessageDecoder()
+        self._count_undecoded()
 
     def close_now(self, reason: str) -> None:
         """Closes the connection immediately; called only if no answer is owed on it."""
@@ -255,7 +325,7 @@
 
     def _read_pending(self) -> None:
         """Reads data that waits in the socket, since a close would discard the data and cause a reset."""
-        if self.stream.is_open and self.stream.is_reading:
+        if self.stream.is_open and self.stream.is_reading and not self.is_waiting:
             self.stream.read()
 
     def _check_after(self, delay_ms: float) -> None:
@@ -322,4 +392,12 @@
         time_left_ms = min(ends_ms - now_ms, message_left_ms)
         # While RPCs are open, no deadline counts as passed, not even that of a partial message: a close would
         # lose the answers to the RPCs.
-        return max(MIN_CHECK_INTERVAL_MS, time_left_ms) if self.rpcs else time_left_ms
+        is_needed = bool(self.rpcs) or self._has_unhandled_messages
+        return max(MIN_CHECK_INTERVAL_MS, time_left_ms) if is_needed else time_left_ms
+
+    @property
+    def _has_unhandled_messages(self) -> bool:
+        """Return whether received messages wait for their turn that the gateway sent before it got goaway."""
+        if not self.is_waiting or not self.goaway_deadline_ms:
+            return self.is_waiting
+        return self.loop.now_ms < self.goaway_deadline_ms + GOAWAY_GRACE_MS
--- a/landingshift/net/routing/gateways.py
+++ b/landingshift/net/routing/gateways.py
@@ -15,6 +15,7 @@
     GatewayConnection,
     GatewayEvents,
 )
+from landingshift.net.routing.input_backlog import InputBacklog
 from landingshift.net.transport.listener import ACCEPT_PAUSE_MS, Listener
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
@@ -67,6 +68,7 @@
             self.connections,
             idle_limit_ms * IDLE_LIMIT_FACTOR,
             ByteBudget(max_undecoded_bytes, self._drop_longest_input),
+            InputBacklog(loop),
         )
         self.unsent_budget = ByteBudget(max_unsent_bytes, self._drop_slowest_reader)
         self.is_full = False
@@ -145,7 +147,9 @@
         Returns:
             Whether a connection was closed.
         """
-        idle = sorted(self._idle_connections(), key=lambda c: (c.is_verified, c.last_message_ms))
+        idle = sorted(
+            self._idle_connections(), key=lambda c: (c.is_verified, c.is_waiting, c.last_message_ms)
+        )
         idle = idle[: 1 + int(self.max_connections * EVICTION_FRACTION)]
         closed = [connection.try_evict() for connection in idle if not connection.is_verified]
         if not any(closed) and all(c.is_verified or c.rpcs for c in self.connections):
--- a/landingshift/net/routing/rpc_intake.py
+++ b/landingshift/net/routing/rpc_intake.py
@@ -90,6 +90,7 @@
             self._answer_not_accepted(connection, request, checked.method, dedup_key)
             return
         rpc = _make_rpc(connection, request, checked, dedup_key)
+        rpc.is_excess = connection.is_behind
         if lacks_room:
             rpc.dedup_key = None
             rpc.has_cache_key = False
--- a/landingshift/net/transport/listener.py
+++ b/landingshift/net/transport/listener.py
@@ -10,7 +10,7 @@
 from landingshift.net.transport.stream import Address
 
 BACKLOG_COUNT = 1024  # maximum number of connections waiting to be accepted
-ACCEPTS_PER_PASS = 64
+ACCEPTS_PER_PASS = 16
 ACCEPT_PAUSE_MS = 20.0  # wait before accepting again after capacity or descriptors ran out
 
 
--- a/landingshift/net/transport/loop.py
+++ b/landingshift/net/transport/loop.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import selectors
 import time
 from collections.abc import Callable
@@ -22,6 +23,8 @@
 # If more time has passed since the sockets were polled, the process was paused or is busy.
 MAX_POLL_AGE_MS = 50.0
 MAX_CATCH_UP_READS = 16  # maximum number of `read` calls after a pause, before timers fire
+# No further `read` call is made after this time: if input keeps arriving, the process is busy, not paused.
+MAX_CATCH_UP_MS = 20.0
 MAX_WAIT_MS = 1000.0  # maximum wait for sockets if there is no timer
 MIN_CANCELLED_TIMERS = 64  # with fewer cancelled timers the heap is not compacted
 
@@ -105,6 +108,10 @@
         heapq.heappush(self.timers, (timer.due_ms, self.timer_count, timer))
         return timer
 
+    def in_next_pass(self, action: Callable[[], None]) -> Timer:
+        """Starts a timer that calls `action` in the next pass, which polls the sockets without a wait."""
+        return self.after(math.nextafter(self.now_ms, math.inf) - self.now_ms, action)
+
     def cancel(self, timer: Timer | None) -> None:
         """Cancels a timer; does nothing if it is None, has fired or is already cancelled."""
         if timer is None or timer.action is None:
@@ -164,10 +171,16 @@
         return bool(self.timers) and self.polled_ms - self.timers[0][0] > LATE_TIMER_MS
 
     def _catch_up(self) -> None:
-        """Reads input that arrived during a pause of the process, so that no timer treats it as missing."""
-        for _ in range(MAX_CATCH_UP_READS):
-            if not self.read(0.0):
-                return
+        """Reads input that arrived during a pause of the process, so that no timer treats it as missing.
+
+        If the process was not paused but is busy, this must not delay the decisions on what was read.
+        """
+        has_input = self.read(0.0)
+        began_ms = self.polled_ms
+        read_count = 1
+        while has_input and read_count < MAX_CATCH_UP_READS and self.polled_ms - began_ms < MAX_CATCH_UP_MS:
+            has_input = self.read(0.0)
+            read_count += 1
 
     def _fire_timers(self) -> None:
         while self.timers and self.timers[0][0] <= self.polled_ms:
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -91,6 +91,8 @@
     Attributes:
         is_open: Whether the stream has not been closed.
         is_reading: Whether the peer can still send; False once the peer has ended its output.
+        is_paused: Whether the loop does not watch for input, so that the peer is slowed down by TCP. The end
+            of the input and a reset are not noticed meanwhile.
         close_reason: The reason code of the close; empty until a close, graceful or not, begins.
         output: The bytes that are queued and not sent yet.
         queued_bytes: The number of bytes queued since the connection was opened.
@@ -117,6 +119,7 @@
         self.reads_per_pass = reads_per_pass
         self.is_connecting = is_connecting
         self.is_reading = True
+        self.is_paused = False
         self.is_open = True
         self.close_reason = ""
         self.watched_mask = -1  # the events that the loop watches; -1 before the first `update_watch`
@@ -132,7 +135,7 @@
 
     def update_watch(self) -> None:
         """Updates the events that the loop watches to match the state of the stream."""
-        mask = EVENT_READ if self.is_reading and not self.is_connecting else 0
+        mask = EVENT_READ if self.is_reading and not self.is_paused and not self.is_connecting else 0
         if self.is_connecting or self.output:
             mask |= EVENT_WRITE
         if mask != self.watched_mask:
@@ -191,6 +194,19 @@
         if self.discarded_bytes > MAX_DISCARDED_BYTES:
             self.close(self.close_reason)
 
+    def pause_reading(self) -> None:
+        """Stops reading until `resume_reading` is called or a close begins."""
+        if self.is_open and not self.close_reason and not self.is_paused:
+            self.is_paused = True
+            self.update_watch()
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        if self.is_paused:
+            self.is_paused = False
+            if self.is_open:
+                self.update_watch()
+
     # Writing
 
     def write(self, data: bytes) -> None:
@@ -238,6 +254,7 @@
         """
         if self.is_open and not self.close_reason:
             self.close_reason = reason
+            self.resume_reading()  # input is discarded, and the peer's close must be noticed
             self.linger()
             self.flush()
 
--- a/tests/load_fixtures.py
+++ b/tests/load_fixtures.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import random
+import select
+import socket
 import threading
 import time
 from collections import Counter
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from multiprocessing import get_context
 from pathlib import Path
 from types import TracebackType
+from typing import Any
+
+import msgpack
 
 from tests.helpers import READ_TIMEOUT_SECONDS, GatewayClient, ProgramUnderTest
 
 ENGINE_READ_TIMEOUT_SECONDS = 0.02
 PROBE_INTERVAL_SECONDS = 0.02
+FLOOD_START_SECONDS = 1.0
 
 
 def anonymous_mb(program: ProgramUnderTest) -> float:
@@ -98,3 +107,69 @@
 
     def median_ms(self) -> float:
         return sorted(self.latencies_ms)[len(self.latencies_ms) // 2]
+
+
+def request(number: int, method: str = "m", **fields: Any) -> bytes:
+    """Return an encoded request with an RPC id of its own; `fields` override its fields."""
+    header = {
+        "id": f"{random.getrandbits(63):016x}",
+        "at": str(int(time.time() * 1000)),
+        "from": "9",
+        "tenant": "t",
+        "wait": "3000",
+        "kb": "10",
+        **fields,
+    }
+    return bytes(msgpack.packb([0, number, method, [header, b"work"]]))
+
+
+def flood(address: tuple[str, int], kind: str, duration_seconds: float) -> None:
+    """Sends messages of a kind at full speed on one verified connection, and reads the answers."""
+    sock = socket.create_connection(address)
+    sock.sendall(request(1))
+    sock.recv(65536)
+    sock.setblocking(False)
+    number, unsent = 1, b""
+    end = time.monotonic() + duration_seconds
+    while time.monotonic() < end:
+        while len(unsent) < 65536:
+            number += 1
+            unsent += flood_message(kind, number)
+        readable, writable, _ = select.select([sock], [sock], [], 0.05)
+        if readable:
+            sock.recv(1 << 18)
+        if writable:
+            unsent = unsent[sock.send(unsent) :]
+
+
+def flood_message(kind: str, number: int) -> bytes:
+    """Return one message of a flood."""
+    name = f"{random.getrandbits(60):x}"
+    match kind:
+        case "invalid":
+            return bytes(msgpack.packb([0, number, "m", [{"id": "x"}, b""]]))
+        case "unknown method":
+            return request(number, method=name)
+        case "health check":
+            return bytes(msgpack.packb([0, number, "probe", [{}]]))
+        case "too many open":
+            return request(number, **{"from": str(random.getrandbits(29))})
+        case "new keys":
+            return request(number, "token", once=name + 900 * "k")
+        case "withdrawn":
+            return request(number) + bytes(msgpack.packb([2, "giveUp", [number]]))
+    raise ValueError(kind)
+
+
+@contextmanager
+def flooded(program: ProgramUnderTest, kind: str, duration_seconds: float) -> Iterator[None]:
+    """Floods the program from a process of its own, which has begun when the context opens."""
+    process = get_context("spawn").Process(
+        target=flood, args=(program.address, kind, duration_seconds + FLOOD_START_SECONDS)
+    )
+    process.start()
+    time.sleep(FLOOD_START_SECONDS)
+    try:
+        yield
+    finally:
+        process.join()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -181,5 +181,27 @@
         self.assertTrue(any(bench.action_names_of(managed) == ["reject"] for managed in managed_rpcs))
 
 
+class ExcessRpcsTest(unittest.TestCase):
+    def test_rpcs_in_excess_start_after_all_others(self) -> None:
+        # Guards against a client that sends more than is handled at once and whose RPCs are older for that.
+        urgent = replace(METHOD, criticality=5.0)
+        bench = AdmissionBench(METHOD, urgent)
+        excess = bench.read(method=urgent, waited_ms=900.0, is_excess=True)
+        older, newer = bench.read(waited_ms=2.0), bench.read(waited_ms=1.0)
+        for newest_first, others in [(False, [older, newer]), (True, [newer, older])]:
+            with self.subTest(newest_first=newest_first):
+                ordered = bench.controller.order.sort(bench.controller.state.queued, newest_first)
+                self.assertEqual(ordered, [*others, excess])
+
+    def test_rpcs_in_excess_do_not_change_the_statistics_of_callers(self) -> None:
+        bench = AdmissionBench()
+        for caller_id in range(10):
+            bench.read(caller_id=caller_id, waited_ms=900.0, is_excess=True)
+        controller = bench.controller
+        self.assertEqual(controller.callers.caller_ids.count(0.0), 0)
+        self.assertEqual(controller.order.arrival_priorities.count(0.0), 0)
+        self.assertEqual(controller.backpressure.unread_ms.count(0.0), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
