Requests of a client that has left do not run, and an id that was started never runs again

Cause: a connection counted as open until a read returned its end. The kernel returns received bytes first, also after a reset, so the end showed one pass after the controller had started what was read. Ids were forgotten with their RPC. Change: the state of the TCP connection is read before input is handled. After a reset nothing is handled. Why it works: whether the client is there is known before its requests are handled, not after. A half-closed client that reads is served as before.

--- a/landingshift/net/routing/actions.py
+++ b/landingshift/net/routing/actions.py
@@ -18,6 +18,7 @@
 from landingshift.net.routing.observers import RpcObservers
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.routing.rpc_table import RpcTable
+from landingshift.net.routing.started_ids import StartedIds
 from landingshift.net.transport.loop import Loop
 
 
@@ -41,6 +42,7 @@
         answers: AnswerWriter,
         duplicates: DuplicateResolver,
         check_runner: CheckRunner,
+        started_ids: StartedIds,
         log: Callable[..., None],
     ) -> None:
         self.loop = loop
@@ -55,6 +57,7 @@
         self.answers = answers
         self.duplicates = duplicates
         self.check_runner = check_runner
+        self.started_ids = started_ids
         self.report = log
 
     # Runs and calls
@@ -63,6 +66,7 @@
         """Sends the engine the command to run the RPC."""
         assert isinstance(rpc, RoutedRpc)
         self.observers.notify("on_started", rpc)
+        self.started_ids.add(rpc.rpc_id, self.loop.now_ms)
         self.engine.send_command(start_run_command(rpc))
 
     def cancel_run(self, rpc: Rpc) -> None:
--- a/landingshift/net/routing/gateway_connection.py
+++ b/landingshift/net/routing/gateway_connection.py
@@ -20,7 +20,7 @@
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.transport.loop import Loop
 from landingshift.net.transport.slots import Slots
-from landingshift.net.transport.stream import READ_BYTES, ByteBudget, Stream
+from landingshift.net.transport.stream import READ_BYTES, ByteBudget, PeerState, Stream
 
 MAX_OPEN_RPCS = 32  # maximum number of open RPCs on one connection
 # Maximum number of messages that open no RPC and are handled in one turn. A gateway may withdraw all its open
@@ -92,6 +92,7 @@
         undecoded_bytes: The number of received bytes counted in `ConnectionContext.undecoded_budget`.
         turn_message_count: The number of messages handled in the present turn that opened no RPC.
         is_waiting: Whether the connection waits for its next turn to have messages handled.
+        is_half_close_checked: Whether the gateway has ended its output and is known to read, or is asked.
         is_behind: Whether messages are handled late because the peer sent more than one turn allows.
         has_unread_input: Whether the last read filled its buffer, so that there can be more input to read.
         accepted_pass: The number of the loop pass in which the connection was accepted.
@@ -118,6 +119,7 @@
         self.undecoded_bytes = 0
         self.turn_message_count = 0
         self.is_waiting = False
+        self.is_half_close_checked = False
         self.is_behind = False
         self.has_unread_input = False
         self.stream = open_stream(self)
@@ -137,7 +139,7 @@
         if self.is_waiting:
             return
         if self.is_verified or self.context.backlog.may_handle_unverified():
-            self._handle_messages()
+            self._handle_unless_gone()
         else:
             self._wait_for_input()
 
@@ -145,7 +147,39 @@
         """Handles the messages of the connection's next turn, after it has waited for it."""
         self.is_waiting = False
         self.turn_message_count = 0
-        self._handle_messages()
+        if self.stream.is_open and not self.stream.close_reason:
+            self._handle_unless_gone()
+
+    def _handle_unless_gone(self) -> None:
+        """Handles received messages if the gateway can still get their answers.
+
+        The messages of a gateway that has closed its socket are not handled: it no longer wants the answers,
+        and it may have sent the requests again on another connection.
+        """
+        state = self.stream.peer_state()
+        if state is PeerState.GONE:
+            self.stream.close("reset")
+        elif state is PeerState.HALF_CLOSED and not self.is_half_close_checked:
+            self._check_half_close()
+        else:
+            self._handle_messages()
+
+    def _check_half_close(self) -> None:
+        """Finds out whether a gateway that has ended its output still reads.
+
+        If it has closed its socket, the goaway that is sent here causes a reset, which arrives within
+        `RESET_TIME_MS`. Messages that are received and not handled wait until then.
+        """
+        self.is_half_close_checked = True
+        self.send_goaway()
+        self.stream.write(wire.GOAWAY)  # also if goaway was sent before
+        self.stream.flush()
+        if not self.stream.is_open or self.stream.peer_state() is PeerState.GONE:
+            self.stream.close("reset")
+            return
+        self.is_waiting = True
+        self.stream.pause_reading()
+        self.loop.after(RESET_TIME_MS, self.handle_input)
 
     def _handle_messages(self) -> None:
         """Handles received messages until the connection has used up its turn.
@@ -228,8 +262,12 @@
         """
         if not self.rpcs:
             self.stream.close_gracefully("closed_by_gateway")
+            return
+        self.send_goaway()
+        self.stream.flush()  # before the controller decides which of the RPCs it starts
+        if self.stream.is_open and self.stream.peer_state() is PeerState.GONE:
+            self.stream.close("reset")
         else:
-            self.send_goaway()
             self.loop.after(RESET_TIME_MS, self.stream.check_error)
 
     def on_closed(self, reason: str) -> None:
--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -28,6 +28,7 @@
 from landingshift.net.routing.rpc_table import RpcTable
 from landingshift.net.routing.server_config import ServerConfig
 from landingshift.net.routing.shutdown import GracefulShutdown
+from landingshift.net.routing.started_ids import StartedIds
 from landingshift.net.transport.datagram import DatagramSender
 from landingshift.net.transport.loop import Loop
 
@@ -73,6 +74,7 @@
         self.table = RpcTable()
         self.request_validator = RequestValidator(loop, config, self.table)
         self.dedup = _dedup_table(config)
+        self.started_ids = StartedIds(self.dedup.max_age_ms)
         self.gateways = _gateways(loop, config, log, listener)
         self.database = DatabasePool(loop, config.database, log)
         self.engine = EngineLink(loop, config.engine, log)
@@ -107,6 +109,7 @@
             answers=self.answers,
             duplicates=self.duplicates,
             check_runner=self.check_runner,
+            started_ids=self.started_ids,
             log=self.log,
         )
 
@@ -121,6 +124,7 @@
             answers=self.answers,
             observers=self.observers,
             health_reporter=self.health_reporter,
+            started_ids=self.started_ids,
             release=self.actions.release,
             log=self.log,
         )
--- a/landingshift/net/routing/rpc_intake.py
+++ b/landingshift/net/routing/rpc_intake.py
@@ -28,6 +28,7 @@
 )
 from landingshift.net.routing.rpc_record import RoutedRpc
 from landingshift.net.routing.rpc_table import RpcTable
+from landingshift.net.routing.started_ids import StartedIds
 
 # Once this many RPCs are in flight, requests on unverified connections are not accepted, to bound memory. A
 # connection is unverified until the engine has recognized an RPC that arrived on it.
@@ -53,6 +54,7 @@
         answers: AnswerWriter,
         observers: RpcObservers,
         health_reporter: HealthReporter,
+        started_ids: StartedIds,
         release: Callable[[RoutedRpc], None],
         log: Callable[..., None],
     ) -> None:
@@ -65,6 +67,7 @@
         self.answers = answers
         self.observers = observers
         self.health_reporter = health_reporter
+        self.started_ids = started_ids
         self.release = release
         self.log = log
 
@@ -79,10 +82,7 @@
             self._answer_invalid(connection, request, err.field)
             return
         except RpcAlreadyRunningError:
-            # Aborted, not rejected: after a rejection the gateway would retry the RPC on another server,
-            # where it would run a second time.
-            data = wire.encode_aborted(request.message_id, self.answers.headers)
-            connection.answer(request.message_id, data)
+            self._abort_unaccepted(connection, request)
             return
         dedup_key = _dedup_key(request.method, checked)
         lacks_room = dedup_key is not None and not self._has_dedup_room(dedup_key, checked.read_ms)
@@ -95,6 +95,9 @@
             rpc.dedup_key = None
             rpc.has_cache_key = False
         original = self.dedup.find(rpc, checked.read_ms, checked.arrived_ms)
+        if original is None and rpc.rpc_id in self.started_ids:
+            self._abort_unaccepted(connection, request)
+            return
         if original is not None:
             rpc.is_duplicate = True
             self.dedup.link_duplicate(rpc, original)
@@ -151,6 +154,14 @@
         rpc_record_count = controller.dedup_entry_count if controller is not None else 0
         return self.dedup.has_room(dedup_key, now_ms, rpc_record_count)
 
+    def _abort_unaccepted(self, connection: GatewayConnection, request: wire.Request) -> None:
+        """Aborts a request whose id belongs to an RPC that was started.
+
+        It is not rejected: after a rejection the gateway would retry the RPC on another server, where it
+        would run a second time.
+        """
+        connection.answer(request.message_id, wire.encode_aborted(request.message_id, self.answers.headers))
+
     def _answer_invalid(self, connection: GatewayConnection, request: wire.Request, field: str) -> None:
         if connection.is_verified and not connection.invalid_count:
             # Only the first invalid request is logged. The number of invalid requests is logged when the
--- a/landingshift/net/transport/stream.py
+++ b/landingshift/net/transport/stream.py
@@ -10,6 +10,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from enum import Enum
 from selectors import EVENT_READ, EVENT_WRITE
 from typing import Protocol
 
@@ -24,9 +25,23 @@
 # peers can then share a local port, so that ports do not run out.
 IP_BIND_ADDRESS_NO_PORT = 24
 ANY_ADDRESS = "0.0.0.0"
+# States of a TCP connection on Linux.
+TCP_CLOSE = 7
+TCP_CLOSE_WAIT = 8
 Address = tuple[str, int]
 
 
+class PeerState(Enum):
+    """What is known about the peer's end of a connection, also while input is unread."""
+
+    OPEN = 1
+    HALF_CLOSED = 2
+    """The peer has ended its output. It is not known whether it still reads: a peer that has closed its
+    socket resets the connection only when it is sent something."""
+    GONE = 3
+    """The peer has reset the connection; nothing can be sent to it."""
+
+
 class StreamOwner(Protocol):
     """Handles the events of a stream."""
 
@@ -289,6 +304,13 @@
         except OSError:
             self.close(self.close_reason)
 
+    def peer_state(self) -> PeerState:
+        """Returns the state of the peer's end; the stream must be an open TCP connection."""
+        state = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        if state == TCP_CLOSE:
+            return PeerState.GONE
+        return PeerState.HALF_CLOSED if state == TCP_CLOSE_WAIT else PeerState.OPEN
+
     def check_error(self) -> None:
         """Closes the stream if its socket has an error.
 
--- a/tests/load_fixtures.py
+++ b/tests/load_fixtures.py
@@ -40,10 +40,10 @@
         run_counts: How often each RPC was run, keyed by RPC id.
     """
 
-    def __init__(self, program: ProgramUnderTest) -> None:
+    def __init__(self, program: ProgramUnderTest, last_notice_number: int = 0) -> None:
         self.engine = program.engine
         self.run_counts: Counter[str] = Counter()
-        self._notice_number = 0
+        self._notice_number = last_notice_number
         self._is_done = threading.Event()
         self._thread = threading.Thread(target=self._serve)
 
