Test of a flood: it waits until the flood has been read before it sends the request in question

It took for granted that 1,280 RPCs written on 40 unverified connections are read before a request that is written later on another one. Since the input of unverified connections is handled in turns, at most 16 a read, so that the other connection can get its turn before all of the flood is read; fewer than 1,024 RPCs are in flight then, the request is rightly accepted, and it waits in the queue. Change: each connection of the flood sends a health check after its RPCs, and the test waits for the answers. Messages of a connection are handled in order, so 1,024 RPCs are in flight for certain when the request is sent. What is checked, the answers and their time, is as before; no product code is changed.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -316,6 +316,11 @@
         for client in clients:
             for _ in range(32):
                 client.send_rpc(wait="9000", kb="0.001")
+            client.send_health_check()
+        for client in clients:
+            # Messages are handled in order: all RPCs have been read once the health check is answered.
+            while client.read_message()[1] != client.last_message_id:
+                pass
         other_gateway = GatewayClient(program)
         for method, answer in [("m", "Busy"), ("token", "Failed")]:
             with self.subTest(method=method):
