A message whose end arrives while its unverified connection has no turn is handled

Cause: the connection waited for its turn only if complete messages could be in its buffer. After the first piece the decoder knows the message as incomplete, so the unexamined second piece did not count, and nothing asked for a turn. Change: input that is not handled for lack of a turn always waits for one. Result: test_message_whose_end_arrives_while_others_wait_is_handled fails before (10 s without the answer) and passes after.

--- a/landingshift/net/routing/gateway_connection.py
+++ b/landingshift/net/routing/gateway_connection.py
@@ -140,8 +140,8 @@
             return
         if self.is_verified or self.context.backlog.may_handle_unverified():
             self._handle_unless_gone()
-        else:
-            self._wait_for_input()
+        elif self.stream.is_open and not self.stream.close_reason:
+            self._wait_for_turn()
 
     def handle_input(self) -> None:
         """Handles the messages of the connection's next turn, after it has waited for it."""
@@ -216,15 +216,18 @@
         has_used_turn = self.turn_message_count >= MAX_MESSAGES_PER_TURN
         self.is_behind = (self.is_behind or has_used_turn) and (has_messages or self.has_unread_input)
         if has_messages:
-            self.is_waiting = True
-            self.stream.pause_reading()
-            self.context.backlog.add(self)
+            self._wait_for_turn()
             return
         self.stream.resume_reading()
         if self.decoder.buffer and not self.partial_since_ms:
             self.partial_since_ms = self.loop.now_ms
             self._check_after(MAX_MESSAGE_MS)
 
+    def _wait_for_turn(self) -> None:
+        self.is_waiting = True
+        self.stream.pause_reading()
+        self.context.backlog.add(self)
+
     def restore_undecoded(self, data: bytes) -> None:
         """Restores input that another process has received and not decoded; handles it in a later pass."""
         self.decoder.receive(data)
--- a/tests/test_input_backlog.py
+++ b/tests/test_input_backlog.py
@@ -112,6 +112,24 @@
         self.assertIn(999, harness.events.health_check_ids)  # a verified connection does not wait for them
         harness.run_passes_until(lambda: len(harness.events.health_check_ids) == len(peers) + 1)
 
+    def test_message_whose_end_arrives_while_others_wait_is_handled(self) -> None:
+        # Guards against a message that is forgotten, since its end was received while no turn was left.
+        harness = self.harness
+        peer, connection = harness.connect()
+        data = health_check(999)
+        peer.sendall(data[:-1])
+        harness.run_passes_until(lambda: connection.decoder.scanner is not None)
+        others = [harness.connect()[0] for _ in range(2 * MAX_UNVERIFIED_PER_READ)]
+        for i, other in enumerate(others):
+            other.sendall(health_check(i))
+        time.sleep(0.05)
+        harness.loop.run_pass()
+        self.assertTrue(harness.gateways.context.backlog.waiting)
+        peer.sendall(data[-1:])
+        time.sleep(0.05)
+        harness.loop.run_pass()
+        harness.run_passes_until(lambda: 999 in harness.events.health_check_ids)
+
     def test_turns_in_one_pass_end_after_their_time(self) -> None:
         loop = Loop(lambda: self.fail("a handler raised"))
         backlog = InputBacklog(loop)
