RPCs in flight take at most a quarter of the process's memory

Cause: RPCs in flight were bounded only by 32 a connection. The controller's bound on memory counts the figure that a request states for the engine, not the process's own memory. Change: beyond a quarter of the memory limit, at 4,000 bytes an RPC, a request is rejected as never run. Why it works: the bound is in the process's own memory and does not depend on the number of connections.

--- a/landingshift/net/routing/router.py
+++ b/landingshift/net/routing/router.py
@@ -37,6 +37,8 @@
 DEDUP_MEMORY_FRACTION = 0.25  # fraction of the memory limit for the deduplication table
 UNSENT_MEMORY_FRACTION = 0.25  # fraction of the memory limit for answers that gateways have not read
 UNDECODED_MEMORY_FRACTION = 0.125  # fraction of the memory limit for requests that are not decoded yet
+RPC_MEMORY_FRACTION = 0.25  # fraction of the memory limit for RPCs in flight
+RPC_BYTES = 4000  # size of an RPC in flight with the largest body, and of the command that runs it
 BYTES_PER_MB = 1048576.0
 
 
@@ -125,6 +127,7 @@
             observers=self.observers,
             health_reporter=self.health_reporter,
             started_ids=self.started_ids,
+            max_rpcs=int(self.config.memory_mb * RPC_MEMORY_FRACTION * BYTES_PER_MB / RPC_BYTES),
             release=self.actions.release,
             log=self.log,
         )
--- a/landingshift/net/routing/rpc_intake.py
+++ b/landingshift/net/routing/rpc_intake.py
@@ -39,6 +39,7 @@
     """Implements `GatewayEvents`: handles the requests and cancellations of gateways.
 
     Args:
+        max_rpcs: The number of RPCs in flight from which on no request is accepted, to bound memory.
         release: Closes an RPC for which the controller raised an exception.
         log: Receives an event for the first invalid request on each verified connection.
     """
@@ -55,6 +56,7 @@
         observers: RpcObservers,
         health_reporter: HealthReporter,
         started_ids: StartedIds,
+        max_rpcs: int,
         release: Callable[[RoutedRpc], None],
         log: Callable[..., None],
     ) -> None:
@@ -68,6 +70,7 @@
         self.observers = observers
         self.health_reporter = health_reporter
         self.started_ids = started_ids
+        self.max_rpcs = max_rpcs
         self.release = release
         self.log = log
 
@@ -145,7 +148,8 @@
         A request whose duplicates must be recognized is not accepted if there is no room for its entry. Any
         other request is accepted without a deduplication key then.
         """
-        is_flood = not connection.is_verified and len(self.table) >= MAX_RPCS_WITH_UNVERIFIED
+        max_rpcs = self.max_rpcs if connection.is_verified else min(self.max_rpcs, MAX_RPCS_WITH_UNVERIFIED)
+        is_flood = len(self.table) >= max_rpcs
         is_unprotected = lacks_dedup_room and method.idempotency is Idempotency.KEYED
         return self.driver.controller is None or is_flood or is_unprotected
 
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -8,6 +8,9 @@
 
 MEMORY_MB = 32
 RESULT_MEMORY_FRACTION = 0.25  # of the memory limit, for cached results, as README.md states
+OPEN_RPC_MEMORY_FRACTION = 0.25  # of the memory limit, for RPCs in flight, as README.md states
+CLIENT_COUNT = 150
+OPEN_RPC_COUNT = 32
 KEYED_RPC_COUNT = 6000
 BATCH_COUNT = 25
 
@@ -44,5 +47,29 @@
         self.assertEqual(answers.total(), KEYED_RPC_COUNT - BATCH_COUNT)
 
 
+class OpenRpcMemoryTest(unittest.TestCase):
+    def test_memory_of_open_rpcs_stays_within_its_fraction_of_the_limit(self) -> None:
+        # Guards against hundreds of clients with 32 open RPCs each, whose bodies fill the memory.
+        program = ProgramUnderTest(self, limits={"memory_mb": MEMORY_MB, "sockets": 400})
+        gateways = [GatewayClient(program) for _ in range(CLIENT_COUNT)]
+        with RunningEngine(program):
+            for gateway in gateways:
+                gateway.send_rpc()
+                self.assertEqual(gateway.read_final_answer()[1], b"r")
+        before_mb = anonymous_mb(program)
+        for gateway in gateways:
+            for _ in range(OPEN_RPC_COUNT):
+                gateway.send_rpc(body=bytes(2048), wait="9000", kb="0.001")
+            gateway.send_health_check()
+        busy_count = 0
+        for gateway in gateways:  # the health check is answered after the RPCs before it have been read
+            while (message := gateway.read_message())[1] != gateway.last_message_id:
+                busy_count += message[2] is not None and message[2][0] == "Busy"
+        growth_mb = anonymous_mb(program) - before_mb
+        self.assertLess(growth_mb, MEMORY_MB * OPEN_RPC_MEMORY_FRACTION)
+        self.assertGreater(busy_count, 0)
+        self.assertLess(busy_count, CLIENT_COUNT * OPEN_RPC_COUNT * 0.9)
+
+
 if __name__ == "__main__":
     unittest.main()
