An id that ran is answered as failed also while no request is accepted

Callers would have seen: Busy, which says that the try never ran, for an id whose run was started, while too many RPCs are in flight or the deduplication table is full (found by reading the change again). Cause: the refusal comes before the check of started ids, and looked only for a key with an entry. Change: a refused request whose id was started is aborted. Result: test_id_that_ran_is_aborted_also_while_no_request_is_accepted got Busy before and gets Failed after.

--- a/landingshift/net/routing/rpc_intake.py
+++ b/landingshift/net/routing/rpc_intake.py
@@ -90,7 +90,7 @@
         dedup_key = _dedup_key(request.method, checked)
         lacks_room = dedup_key is not None and not self._has_dedup_room(dedup_key, checked.read_ms)
         if self._must_refuse(connection, checked.method, lacks_room):
-            self._answer_not_accepted(connection, request, checked.method, dedup_key)
+            self._answer_not_accepted(connection, request, checked, dedup_key)
             return
         rpc = _make_rpc(connection, request, checked, dedup_key)
         rpc.is_excess = connection.is_behind
@@ -178,7 +178,7 @@
         self,
         connection: GatewayConnection,
         request: wire.Request,
-        method: Method,
+        checked: CheckedRequest,
         dedup_key: DedupKey | None,
     ) -> None:
         """Rejects a valid request that is not accepted.
@@ -187,7 +187,8 @@
 
         A duplicate of an RPC that might have run and must not run twice is aborted instead.
         """
-        may_have_run = method.idempotency is Idempotency.KEYED and dedup_key in self.dedup.entries
+        is_duplicate = checked.method.idempotency is Idempotency.KEYED and dedup_key in self.dedup.entries
+        may_have_run = is_duplicate or checked.fields.rpc_id in self.started_ids
         encode = wire.encode_aborted if may_have_run else wire.encode_rejected
         connection.answer(request.message_id, encode(request.message_id, self.answers.headers))
 
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -70,6 +70,24 @@
                     self.assertEqual(other.read_final_answer(), (message_id, "Failed"))
                     self.assertEqual(engine.run_counts.total(), 0)
 
+    def test_id_that_ran_is_aborted_also_while_no_request_is_accepted(self) -> None:
+        # Guards against "Busy", which means that the RPC never ran, for an id that ran.
+        program = ProgramUnderTest(self, limits={"sockets": 200}, settings__extra__n_cores=1)
+        gateway = GatewayClient(program)
+        verify(program, gateway)
+        for other in [
+            GatewayClient(program) for _ in range(33)
+        ]:  # more RPCs than unverified clients may have
+            for _ in range(32):
+                other.send_rpc(wait="9000", kb="0.001")
+            other.send_health_check()
+            while other.read_message()[1] != other.last_message_id:
+                pass
+        late = GatewayClient(program)
+        for rpc_id, answer in [(f"{1:016x}", "Failed"), (f"{99999:016x}", "Busy")]:
+            message_id = late.send_rpc("once", id=rpc_id)
+            self.assertEqual(late.read_answer(), (message_id, answer))
+
 
 class StartedIdsTest(unittest.TestCase):
     def test_ids_are_remembered_for_their_time_and_their_number_is_bounded(self) -> None:
