Deduplication table: results are evicted before a new entry is refused

Cause: the controller's records share the bound, but eviction stopped at 0.9 of the whole bound, without them. With results below that, nothing was evicted, and each request was refused until entries expired. Change: eviction goes on until a tenth of the bound is free below what the records and the new entry need. Result: test_results_are_evicted_before_a_new_entry_is_refused fails before (no room) and passes after; test_net and test_memory_bounds: 19 passed.

--- a/landingshift/net/routing/dedup.py
+++ b/landingshift/net/routing/dedup.py
@@ -23,8 +23,7 @@
 ENTRY_BYTES = 600
 # Size of the record of an RPC that the admission controller keeps until the deduplication window ends.
 RPC_RECORD_BYTES = 1200
-# Once the size of the table exceeds `max_bytes`, results are evicted until the size is at most this fraction
-# of `max_bytes`.
+# Results are evicted until the size is below the bound by the rest of this fraction of `max_bytes`.
 FULL_FRACTION = 0.9
 MIN_EXPIRY_ITEMS = 64  # with fewer items the expiry heap is not compacted
 
@@ -250,12 +249,12 @@
         # If there is little to evict, a search for it at the end of each run would take too long.
         min_evicted_bytes = self.max_bytes * (1.0 - FULL_FRACTION)
         if self.used_bytes > max_bytes and self.evictable_bytes >= min_evicted_bytes:
-            self._evict_oldest()
+            self._evict_oldest(max_bytes - min_evicted_bytes)
 
-    def _evict_oldest(self) -> None:
-        """Evicts results, those of the oldest entries first, until `FULL_FRACTION` of the bound is used."""
+    def _evict_oldest(self, max_bytes: float) -> None:
+        """Evicts results, those of the oldest entries first, until at most `max_bytes` are used."""
         for entry in list(self.entries.values()):
-            if self.used_bytes <= self.max_bytes * FULL_FRACTION:
+            if self.used_bytes <= max_bytes:
                 return
             if entry.evictable_bytes:
                 self._evict(entry)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -215,6 +215,18 @@
         self.assertTrue(table.has_room((b"m", str(count)), 5000.0, 0))
         self.assertFalse(table.has_room((b"m", str(count)), 5000.0, 1 << 20))  # records of the controller
 
+    def test_results_are_evicted_before_a_new_entry_is_refused(self) -> None:
+        # Guards against RPCs that are rejected while results fill the room beside the controller's records.
+        table = DedupTable(100 * (ENTRY_BYTES + 1200), response_cache_ttl_ms=60000.0)
+        for i in range(80):
+            rpc = routed_rpc(i, Idempotency.KEYED, str(i))
+            self.assertTrue(table.has_room((b"m", str(i)), 0.0, 0))
+            table.reserve(rpc, 5000.0)
+            entry = table.owned_by(rpc)
+            assert entry is not None
+            table.complete(entry, Outcome.OK, bytes(1000), 0.0)
+        self.assertTrue(table.has_room((b"m", "new"), 0.0, 60))
+
     def test_entry_lifetime_depends_on_outcome_and_idempotency(self) -> None:
         for idempotency, outcome, now_ms, is_known in [
             (Idempotency.IDEMPOTENT, Outcome.OK, 600.0, True),
