--- a/review/ledger_2.py
+++ b/review/ledger_2.py
@@ -1,4 +1,4 @@
-"""Helpers for the cases about the ledger: its commands, its history, and a receiver of exports."""
+"""Helpers for the cases about the ledger: its history, and its commands with and without the extras."""
 
 from __future__ import annotations
 
@@ -6,15 +6,15 @@
 import signal
 import subprocess
 import sys
-import threading
-from dataclasses import dataclass, field
+import time
+from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
-from http.server import BaseHTTPRequestHandler, HTTPServer
 from pathlib import Path
-from typing import Any
 
-from peers_2 import ROOT, Case, free_port, give_up
+from peers_2 import ROOT, Case, give_up
 
+from landingshift.ledger.audit import audit_store
+from landingshift.ledger.compaction import compact_store
 from landingshift.ledger.entries import attempt_identity
 from landingshift.ledger.settings import Settings
 from landingshift.ledger.store import UsageStore
@@ -26,6 +26,11 @@
 """Uses of one run of a server that `write_run` writes."""
 
 
+def open_store(folder: str) -> UsageStore:
+    """Opens the ledger of a `PastLedger`."""
+    return UsageStore.from_settings(Settings(directory=folder, instance=INSTANCE, period_unit="day"))
+
+
 def write_run(folder: str, at_ms: int, first_attempt: int, is_killed: bool) -> None:
     """Writes the entries of a server's run at a time in the past, as its store's process does.
 
@@ -35,7 +40,7 @@
         first_attempt: Number of the first of the clients' attempts.
         is_killed: Whether the process is killed before it knows whether the answers arrived.
     """
-    store = UsageStore.from_settings(Settings(directory=folder, instance=INSTANCE, period_unit="day"))
+    store = open_store(folder)
     store.start_run(os.urandom(8), at_ms)
     numbers = list(range(1, USES + 1))
     uses = []
@@ -52,6 +57,40 @@
     store.close()
 
 
+def operate(folder: str, command: str, period: str = "") -> str:
+    """Does what a command of `landingshift ledger` does, by the same calls; returns what it prints.
+
+    The commands need libraries that the deploy file does not install.
+    """
+    now_ms = round(time.time() * 1000)
+    with open_store(folder) as store:
+        match command:
+            case "verify":
+                return f"{len(list(audit_store(store)))} findings"
+            case "close":
+                with store.ledger_transaction() as ledger:
+                    totals = store.period_totals(period)
+                    ledger.close_period(period, now_ms, store.first_open_period(), totals)
+                return f"{period}: closed, {store.period_sum(period).uses} uses"
+            case "exported":  # what `export` stores once the receiver has everything
+                store.set_exported_number(store.newest_number())
+                return f"exported up to entry {store.exported_number()}"
+            case "compact":
+                return f"{compact_store(store, period, now_ms, store.exported_number())} uses gone"
+            case "disputed":
+                return str(len(store.disputed()))
+            case "resolve --bill-all":
+                with store.ledger_transaction() as ledger:
+                    disputed = dict(store.disputed())
+                    nearby = store.counted_near(disputed.values())
+                    reason = "the gateway's log has them"
+                    billed = ledger.resolve_disputes(disputed, [], nearby, reason, "anna", now_ms)
+                return f"{billed} billed, {len(disputed) - billed} were repeated attempts"
+            case "billed":
+                return str(sum(summary.totals.uses for summary in store.periods()))
+    return give_up(f"no such command: {command}")
+
+
 @dataclass
 class PastLedger:
     """A ledger with periods of a day, whose runs lie in the past, so that their periods can be closed."""
@@ -77,14 +116,25 @@
         Raises:
             CaseNotRunError: The process failed.
         """
-        call = f"import ledger_2; ledger_2.write_run({str(self.folder)!r}, {int(at.timestamp() * 1000)}, "
-        call += f"{first_attempt}, {is_killed})"
+        at_ms = int(at.timestamp() * 1000)
+        parameters = [str(self.folder), at_ms, first_attempt, is_killed]
+        call = f"import ledger_2; ledger_2.write_run(*{parameters!r})"
         status = subprocess.run([sys.executable, "-c", call], timeout=40).returncode
         attempts = f"attempts {first_attempt + 1} to {first_attempt + USES}"
         self.case.record.write(f"a server's run at {at:%F %T}, {attempts}: status {status}")
         if status != (-signal.SIGKILL if is_killed else 0):
             give_up("the ledger was not written")
 
+    def operate(self, *words: str) -> str:
+        """Does what a command of `landingshift ledger` does, in a process of its own; returns its output."""
+        call = f"import ledger_2; print(ledger_2.operate(*{[str(self.folder), *words]!r}))"
+        result = subprocess.run([sys.executable, "-c", call], capture_output=True, text=True, timeout=40)
+        output = (result.stdout + result.stderr).strip()
+        self.case.record.write(f"operator: ledger {' '.join(words)}: {output}")
+        if result.returncode:
+            give_up(f"ledger {words}: {output}")
+        return output
+
     def try_command(self, *words: str) -> tuple[int, str]:
         """Runs a `landingshift ledger` command; returns its exit status and output."""
         line = [sys.executable, "-c", COMMAND, "ledger", *words, "--toml", str(self.toml)]
@@ -103,75 +153,3 @@
         if status:
             give_up(f"ledger {words}: {output}")
         return output
-
-
-@dataclass
-class Receiver:
-    """A receiver as docs/ledger-export.md describes it: cursor, hash and records change together."""
-
-    case: Case
-    cursor: int = 0
-    hash: bytes = bytes(16)
-    records: dict[int, str] = field(default_factory=dict)
-    """Period of each use, by the id of its record."""
-
-    def __post_init__(self) -> None:
-        """Answers requests in a thread of its own."""
-        port = free_port()
-        self.url = f"http://127.0.0.1:{port}/ledger"
-        server = HTTPServer(("127.0.0.1", port), _handler_of(self))
-        threading.Thread(target=server.serve_forever, daemon=True).start()
-
-    def copy(self) -> tuple[int, bytes, dict[int, str]]:
-        """Returns a copy of what is stored."""
-        return self.cursor, self.hash, dict(self.records)
-
-    def restore(self, copy: tuple[int, bytes, dict[int, str]]) -> None:
-        """Replaces what is stored by a copy."""
-        self.cursor, self.hash, self.records = copy[0], copy[1], dict(copy[2])
-
-    def apply(self, batch: Any) -> bool:
-        """Applies a batch if it begins at the cursor; returns whether it was applied."""
-        is_next = getattr(batch, "from") == self.cursor and batch.from_hash == self.hash
-        if is_next:
-            self.cursor, self.hash = batch.to, batch.to_hash
-            self.records |= {
-                record.id: record.period for record in batch.records if record.kind == record.USE
-            }
-        self.case.record.write(
-            f"receiver gets a batch from {getattr(batch, 'from')} to {batch.to} with {len(batch.records)} "
-            f"records; applied: {is_next}"
-        )
-        return is_next
-
-
-def _handler_of(receiver: Receiver) -> type[BaseHTTPRequestHandler]:
-    from landingshift.ledger.export_pb2 import Ack, Batch
-
-    class Handler(BaseHTTPRequestHandler):
-        """Answers the requests of an exporter."""
-
-        def answer(self, is_applied: bool, status: int) -> None:
-            """Sends an `Ack` with the stored values."""
-            ack = Ack(instance=INSTANCE, cursor=receiver.cursor, hash=receiver.hash, applied=is_applied)
-            data = ack.SerializeToString()
-            self.send_response(status)
-            self.send_header("Content-Length", str(len(data)))
-            self.end_headers()
-            self.wfile.write(data)
-
-        def do_GET(self) -> None:
-            """Answers a request for the cursor."""
-            receiver.case.record.write("receiver is asked for its cursor:", receiver.cursor)
-            self.answer(False, 200)
-
-        def do_POST(self) -> None:
-            """Answers a batch."""
-            batch = Batch.FromString(self.rfile.read(int(self.headers["Content-Length"])))
-            is_applied = receiver.apply(batch)
-            self.answer(is_applied, 200 if is_applied else 409)
-
-        def log_message(self, *_words: object) -> None:
-            """Writes no log."""
-
-    return Handler
--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -18,6 +18,7 @@
 import time
 import tomllib
 from collections.abc import Callable
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -32,6 +33,8 @@
 METHOD = "checkout"
 TENANT = "rundtur"
 DRAIN_GRACE_MS = 1000.0
+SEED = 62
+"""From it, the name and the number of its start comes the seed of each server."""
 PORTS = range(20_000, 30_000)
 """Below the range of ephemeral ports, so that a port stays free while its server is restarted."""
 
@@ -171,12 +174,13 @@
         self.fleet = (LOOPBACK, free_port())
         self.log_path = case.folder / f"{name}.log"
         self.process: subprocess.Popen[bytes] | None = None
-        self.tenants = [TENANT]
+        self.start_count = 0
 
     def start(self) -> None:
         """Starts the process; does not wait until it is ready."""
         case = self.case
         config_path, toml_path = case.folder / f"{self.name}.json", case.folder / f"{self.name}.toml"
+        self.start_count += 1
         config_path.write_text(json.dumps(self._config()))
         toml_path.write_text(self._make_toml(self))
         variables = {"GW_CONFIG": str(config_path), "LANDINGSHIFT_TOML": str(toml_path)}
@@ -198,14 +202,14 @@
             "listen": f"{LOOPBACK}:{self.listen[1]}",
             "engine": self.engine.address,
             "roster": self.case.roster_address,
-            "seed": os.urandom(6).hex(),
+            "seed": blake2b(f"{SEED} {self.name} {self.start_count}".encode(), digest_size=8).hexdigest(),
             "stop_ms": self.stop_ms,
             "limits": {"memory_mb": 192, "sockets": 512},
             "settings": {
                 "classes": [
                     {"name": METHOD, "effect": "retryable", "slo": 2000.0, "give-up": 4000.0, "value": 1.0}
                 ],
-                "orgs": [{"name": name, "allowance-per-s": 1000.0} for name in self.tenants],
+                "orgs": [{"name": TENANT, "allowance-per-s": 1000.0}],
                 "extra": {
                     "n-cores": 4,
                     "memory-kb": 90000.0,
