--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -399,6 +399,7 @@
 def play(script: str, run: Callable[[Case], int]) -> None:
     """Runs a case and ends the program with its exit status."""
     case = Case(script)
+    signal.signal(signal.SIGTERM, lambda _number, _frame: give_up("stopped after its time"))
     try:
         status = run(case)
     except Exception as error:
