Ledger: usage that a resolution bills stays in the deduplication window

Cause: the ledger took usage to be counted by a settlement alone. Recovery, which the server's store runs at each start and after each command of an operator, passed over resolutions, and so did `counted_near`. Evidence, one attempt traced: the command's window has the identity, the server's next transaction has not; the resolution is in the entries.

Change: `counted_ranges` says which usage an entry counts, for recovery, `counted_near`, merging and export. The search of `counted_near` goes on until the outcome of each candidate is known.

--- a/landingshift/ledger/entries.py
+++ b/landingshift/ledger/entries.py
@@ -226,6 +226,27 @@
     return entry
 
 
+def counted_ranges(entry: Entry) -> list[int]:
+    """Returns the ranges of the usage that an entry counts (bills); no ranges for most kinds of entries.
+
+    Usage is counted by the settlement that reports its delivery or, if it was disputed, by a resolution.
+    """
+    match entry:
+        case Settlement(counted=ranges) | Resolution(billed=ranges):
+            return ranges
+    return []
+
+
+def settled_ranges(entry: Entry) -> list[int]:
+    """Returns the ranges of the usage whose outcome an entry decides, counted or not."""
+    match entry:
+        case Settlement():
+            return [*entry.counted, *entry.duplicates, *entry.undelivered]
+        case Resolution():
+            return [*entry.billed, *entry.waived]
+    return []
+
+
 def decode_usage(data: bytes) -> UsageRecord:
     """Decodes the data of a usage entry.
 
--- a/landingshift/ledger/export_records.py
+++ b/landingshift/ledger/export_records.py
@@ -14,6 +14,7 @@
     Resolution,
     Settlement,
     UsageRecord,
+    counted_ranges,
     decode,
     decode_usage,
 )
@@ -83,8 +84,8 @@
 
     def _records(self, number: int, entry: Entry) -> list[Record]:
         match entry:
-            case Settlement(counted=ranges) | Resolution(billed=ranges):
-                return self._usage_records(number, ranges)
+            case Settlement() | Resolution():
+                return self._usage_records(number, counted_ranges(entry))
             case Correction():
                 return [self._correction_record(number, entry)]
             case PeriodClose():
--- a/landingshift/ledger/merged_store.py
+++ b/landingshift/ledger/merged_store.py
@@ -29,6 +29,7 @@
     Settlement,
     UsageRecord,
     chain_hash,
+    counted_ranges,
     decode,
 )
 from landingshift.ledger.errors import (
@@ -266,8 +267,8 @@
 
     def _apply(self, state: _BranchState, entry: Entry) -> None:
         match entry:
-            case Settlement(counted=ranges) | Resolution(billed=ranges):
-                for number in decode_ranges(ranges):
+            case Settlement() | Resolution():
+                for number in decode_ranges(counted_ranges(entry)):
                     self._add_usage(state, number)
             case Correction():
                 key = structs.replace(
--- a/landingshift/ledger/store_reader.py
+++ b/landingshift/ledger/store_reader.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Set
 
 from landingshift.ledger.dedup_window import DedupWindow
 from landingshift.ledger.entries import (
     Compaction,
     Correction,
-    Entry,
     EntryKind,
     EntryRow,
-    Settlement,
     UsageRecord,
+    counted_ranges,
     decode,
     decode_period_close,
     decode_usage,
+    settled_ranges,
 )
 from landingshift.ledger.number_ranges import decode_ranges
 from landingshift.ledger.periods import BillingCalendar
@@ -84,6 +84,11 @@
         """Returns the number of the newest entry; 0 if there is none."""
         return self.db.execute("SELECT max(number) FROM entries").fetchone()[0] or 0
 
+    def usage(self, number: int) -> UsageRecord | None:
+        """Returns the usage entry with this number; None if there is none or it was compacted."""
+        row = self.row(number)
+        return decode_usage(row.data) if row is not None and row.kind == EntryKind.USAGE else None
+
     def usage_count(self, last: int) -> int:
         """Returns the number of stored usage entries up to entry `last`."""
         count: int = self.db.execute(
@@ -230,26 +235,55 @@
     def counted_near(self, records: Collection[UsageRecord]) -> DedupWindow:
         """Returns a window with the times at which the identities of the given records were counted.
 
-        It covers at least one deduplication window before and after the time of each record.
+        It covers at least one deduplication window before and after the time of each record, also where an
+        entry of a much later time counted the usage.
         """
         counted = DedupWindow(self.dedup_window_ms, NO_LIMIT)
         times = [record.at_ms for record in records]
         if not times:
             return counted
-        wanted = {record.identity for record in records}
-        latest_ms = max(times) + 2 * self.dedup_window_ms
-        candidates: dict[int, UsageRecord] = {}
-        for number, kind, data, _ in self.rows(self._first_entry_since(min(times) - self.dedup_window_ms)):
-            if kind == EntryKind.USAGE:
-                record = decode_usage(data)
-                if record.at_ms > latest_ms:
-                    break
-                if record.identity in wanted:
-                    candidates[number] = record
-            elif kind == EntryKind.SETTLEMENT and candidates:
-                _add_counted(counted, decode(kind, data), candidates)
+        identities = {record.identity for record in records}
+        first = self._first_entry_since(min(times) - self.dedup_window_ms)
+        candidates = self._usage_of(identities, first, max(times) + 2 * self.dedup_window_ms)
+        for record in self._counted_usage(candidates):
+            counted.add(record.identity, record.at_ms)
         return counted
 
+    def _usage_of(self, identities: Set[bytes], first: int, latest_ms: int) -> dict[int, UsageRecord]:
+        """Returns the usage of some identities from entry `first` on, without disputed usage.
+
+        The search ends at the first usage after `latest_ms`.
+        """
+        found = {}
+        for row in self.rows(first):
+            if row.kind != EntryKind.USAGE:
+                continue
+            record = decode_usage(row.data)
+            if record.at_ms > latest_ms:
+                break
+            if record.identity in identities:
+                found[row.number] = record
+        for number in self.disputed_numbers():
+            found.pop(number, None)
+        return found
+
+    def _counted_usage(self, candidates: dict[int, UsageRecord]) -> Iterator[UsageRecord]:
+        """Yields those of the given usage entries that a settlement or a resolution counts."""
+        undecided = dict(candidates)
+        rows = self.db.execute(
+            "SELECT kind, data FROM entries WHERE number > ? AND kind IN (?, ?) ORDER BY number",
+            (min(undecided, default=NO_LIMIT), EntryKind.SETTLEMENT, EntryKind.RESOLUTION),
+        )
+        for kind, data in rows:
+            entry = decode(kind, data)
+            for number in decode_ranges(counted_ranges(entry)):
+                if number in undecided:
+                    yield undecided[number]
+            for number in decode_ranges(settled_ranges(entry)):
+                undecided.pop(number, None)
+            if not undecided:
+                return
+
     def _first_entry_since(self, at_ms: int) -> int:
         """Returns the number of an entry before which all usage is older than `at_ms`, found by bisection.
 
@@ -265,11 +299,3 @@
             else:
                 high = middle
         return low
-
-
-def _add_counted(counted: DedupWindow, settlement: Entry, candidates: dict[int, UsageRecord]) -> None:
-    assert isinstance(settlement, Settlement)
-    for number in decode_ranges(settlement.counted):
-        record = candidates.get(number)
-        if record is not None:
-            counted.add(record.identity, record.at_ms)
--- a/landingshift/ledger/usage_ledger.py
+++ b/landingshift/ledger/usage_ledger.py
@@ -41,7 +41,7 @@
     PeriodNotEndedError,
     UnknownUsageError,
 )
-from landingshift.ledger.number_ranges import decode_ranges, encode_ranges
+from landingshift.ledger.number_ranges import encode_ranges
 from landingshift.ledger.periods import BillingCalendar
 from landingshift.ledger.store_messages import ReportedUsage, UsageBatch
 from landingshift.ledger.totals import Totals, TotalsKey, UsageTotals, period_digest
@@ -353,38 +353,6 @@
         self.changes.resolved += [*billed, *waived]
         return len(counted)
 
-    # Recovery
-
-    def replay(self, number: int, entry: Entry, entry_hash: bytes) -> None:
-        """Applies an entry that is already stored; recovery calls this for each entry to replay, in order."""
-        self.last_number = number
-        self.last_hash = entry_hash
-        match entry:
-            case UsageRecord():
-                self.pending[entry.sequence] = PendingUsage(number, entry)
-            case Settlement():
-                self._replay_settlement(entry)
-            case Opened():
-                self.pending.clear()
-                self.last_batch_number = 0
-            case PeriodClose():
-                self.closed_end_ms = max(self.closed_end_ms, entry.end_ms)
-            case NameEntry():
-                self.name_numbers[entry.is_tenant, entry.name] = number
-
-    def _replay_settlement(self, settlement: Settlement) -> None:
-        pending_by_number = {usage.entry_number: usage.record for usage in self.pending.values()}
-        for number in decode_ranges(settlement.counted):
-            record = pending_by_number.get(number)
-            if record is not None:
-                del self.pending[record.sequence]
-                self.dedup_window.add(record.identity, record.at_ms)
-        for ranges in (settlement.duplicates, settlement.undelivered, settlement.disputed):
-            for number in decode_ranges(ranges):
-                record = pending_by_number.get(number)
-                if record is not None:
-                    del self.pending[record.sequence]
-
 
 def correction_key(correction: Correction) -> TotalsKey:
     """Returns the key of the totals that a correction changes."""
