Export: stops before it leaves out records that a compaction removed

Cause: a batch took the entries that are stored after the cursor for all entries after it. Compaction removes usage and settlements; a cursor at a kept entry before them, and 0, has a valid hash. Evidence: the receiver applied each batch at its own cursor; for all cursors of a compacted ledger, nine were served short. Refusing every cursor in the compacted part would refuse whole ones; looking for missing entries alone would miss a kept resolution whose billed usage is gone.

Otherwise it stops with status 1, having sent nothing, and says what to do.

--- a/landingshift/cli/ledger_operations.py
+++ b/landingshift/cli/ledger_operations.py
@@ -37,17 +37,26 @@
 @click.option("--follow", is_flag=True, help="Keep running and export new entries as they are written.")
 @click.option("--timeout-ms", type=float, default=5000.0, help="Timeout of each request, in ms.")
 @click.option("--seed", type=int, default=1, help="Seed of the random delays between retries.")
+@click.option(
+    "--skip-compacted", is_flag=True, help="Go on without compacted records that the receiver does not have."
+)
 @toml_option
 @reports_errors
-def export(url: str, follow: bool, timeout_ms: float, seed: int, toml: str | None) -> None:
-    """Deliver the records of all entries exactly once to a receiver. Failed deliveries are retried."""
+def export(
+    url: str, follow: bool, timeout_ms: float, seed: int, skip_compacted: bool, toml: str | None
+) -> None:
+    """Deliver the records of all entries exactly once to a receiver. Failed deliveries are retried.
+
+    Stops with exit status 1 if the receiver lacks records that were compacted.
+    """
     from landingshift.cli.logs import event_logger
     from landingshift.ledger.exporter import Exporter
     from landingshift.ledger.receiver_client import HttpReceiver
 
     receiver = HttpReceiver(url, timeout_ms)
     with open_store(toml) as store:
-        stop = Exporter(store, receiver, Random(seed), event_logger()).run(follow)
+        log = event_logger()
+        stop = Exporter(store, receiver, Random(seed), log, skips_compacted=skip_compacted).run(follow)
         click.echo(stop.reason if stop else f"exported up to entry {store.exported_number()}")
     if stop:
         raise SystemExit(EXIT_FAILED)
--- a/landingshift/ledger/database.py
+++ b/landingshift/ledger/database.py
@@ -64,3 +64,13 @@
         if db.in_transaction:
             db.execute("ROLLBACK")
         raise
+
+
+@contextmanager
+def read_snapshot(db: sqlite3.Connection) -> Iterator[None]:
+    """Runs its block as a read transaction, whose statements see no commit made after its first one."""
+    db.execute("BEGIN")
+    try:
+        yield
+    finally:
+        db.execute("ROLLBACK")
--- a/landingshift/ledger/errors.py
+++ b/landingshift/ledger/errors.py
@@ -4,6 +4,12 @@
 
 from landingshift.errors import LandingshiftError
 
+COMPACTED_ADVICE = (
+    "restore the receiver from a newer copy, or export a backup of this ledger from before the compaction "
+    "and then this ledger"
+)
+"""What an operator can do if a receiver lacks compacted entries."""
+
 
 class LedgerError(LandingshiftError):
     """Base class of the errors of usage metering."""
@@ -48,6 +54,18 @@
     """The receiver sent no valid reply, so it is unknown whether it applied the request."""
 
 
+class EntriesCompactedError(LedgerError):
+    """The receiver lacks the records of an entry that a compaction removed."""
+
+    def __init__(self, cursor: int, missing_number: int) -> None:
+        super().__init__(
+            f"the receiver ends at entry {cursor}, and entry {missing_number}, whose records it lacks, "
+            f"was compacted: {COMPACTED_ADVICE}; `--skip-compacted` goes on without these records"
+        )
+        self.cursor = cursor
+        self.missing_number = missing_number
+
+
 class UnknownEntryKindError(LedgerError, ValueError):
     """The kind of an entry is not a value of `EntryKind`."""
 
--- a/landingshift/ledger/export_cursor.py
+++ b/landingshift/ledger/export_cursor.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from landingshift.ledger.errors import COMPACTED_ADVICE
+
 INITIAL_BACKOFF_MS = 100.0
 MAX_BACKOFF_MS = 30_000.0
 MAX_DOUBLING_COUNT = 20  # avoids a float overflow; the backoff reaches its maximum long before
@@ -141,7 +143,9 @@
             )
         own_hash = self._hash_at(cursor)
         if own_hash is None:
-            return Stop(f"the receiver ends at entry {cursor}, which this ledger has no more")
+            return Stop(
+                f"the receiver ends at entry {cursor}, which this ledger has no more: {COMPACTED_ADVICE}"
+            )
         if own_hash != cursor_hash:
             return Stop(f"entry {cursor} is another one at the receiver: the ledgers have parted")
         return None
--- a/landingshift/ledger/exporter.py
+++ b/landingshift/ledger/exporter.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from landingshift import failpoints
-from landingshift.ledger.errors import ReceiverUnavailableError
+from landingshift.ledger.errors import EntriesCompactedError, ReceiverUnavailableError
 from landingshift.ledger.export_cursor import (
     ExportCursor,
     ExportStep,
@@ -41,6 +41,7 @@
         rng: Random,
         log: Log,
         sleep: Callable[[float], None] = time.sleep,
+        skips_compacted: bool = False,
     ) -> None:
         """Creates an exporter; the first request queries the receiver's cursor.
 
@@ -50,12 +51,15 @@
             rng: Source of the backoff's jitter.
             log: Function that logs an event and its fields.
             sleep: Function that waits for a number of seconds.
+            skips_compacted: Whether to go on without records that a compaction removed before the receiver
+                had them, instead of stopping.
         """
         self._store = store
         self._receiver = receiver
         self._log = log
         self._sleep = sleep
         self._entries = ExportReader(store)
+        self._skips_compacted = skips_compacted
         self.cursor = ExportCursor(self._entries.hash_at, rng)
 
     def run(self, follow: bool = False) -> Stop | None:
@@ -65,7 +69,8 @@
             follow: Whether to keep exporting new entries instead of returning when all are exported.
 
         Returns:
-            None when all entries are exported; a `Stop` if the receiver's entries differ from this ledger's.
+            None when all entries are exported; a `Stop` if the receiver's entries differ from this ledger's,
+            or if a compaction removed entries that the receiver lacks.
         """
         while True:
             step = self.cursor.next_step(self._entries.newest_number())
@@ -80,6 +85,12 @@
             except ReceiverUnavailableError as err:
                 self._on_failure(err)
                 continue
+            except EntriesCompactedError as err:
+                if not self._skips_compacted:
+                    return self._stop(Stop(str(err)))
+                self._log("export_skipped", cursor=err.cursor, missing=err.missing_number)
+                self._entries.skips_compacted = True
+                continue
             stop = self._on_reply(reply) if reply is not None else None
             if stop is not None:
                 return stop
@@ -111,9 +122,12 @@
         rewind_count = self.cursor.rewind_count
         stop = self.cursor.on_reply(reply.cursor, reply.hash, self._entries.newest_number())
         if stop is not None:
-            self._log("export_stopped", reason=stop.reason)
-            return stop
+            return self._stop(stop)
         if self.cursor.rewind_count > rewind_count:
             self._log("export_rewound", cursor=reply.cursor, had=self.cursor.furthest_cursor)
         self._store.set_exported_number(reply.cursor)
         return None
+
+    def _stop(self, stop: Stop) -> Stop:
+        self._log("export_stopped", reason=stop.reason)
+        return stop
--- a/landingshift/ledger/store_reader.py
+++ b/landingshift/ledger/store_reader.py
@@ -80,6 +80,20 @@
         ).fetchone()
         return EntryRow._make(row) if row else None
 
+    def first_missing_number(self, after: int) -> int | None:
+        """Returns the number of the first entry after entry `after` that was compacted; None if all exist."""
+        newest_number = self.newest_number()
+        if after >= newest_number:
+            return None
+        if self.row(after + 1) is None:
+            return after + 1
+        last_of_run: int = self.db.execute(
+            "SELECT number FROM entries AS e WHERE number > ? "
+            "AND NOT EXISTS (SELECT 1 FROM entries WHERE number = e.number + 1) ORDER BY number LIMIT 1",
+            (after,),
+        ).fetchone()[0]
+        return last_of_run + 1 if last_of_run < newest_number else None
+
     def newest_number(self) -> int:
         """Returns the number of the newest entry; 0 if there is none."""
         return self.db.execute("SELECT max(number) FROM entries").fetchone()[0] or 0
--- a/tests/test_ledger_commands.py
+++ b/tests/test_ledger_commands.py
@@ -104,6 +104,27 @@
             self.run_command("export", "--to", server.url)
         self.assertEqual(sum(billed.uses for billed in receiver_state.totals().values()), 3)
 
+    def test_export_that_a_compaction_refuses_goes_on_from_a_backup(self) -> None:
+        backup_path = Path(self.directory, "backup", "ledger.sqlite")
+        backup_path.parent.mkdir()
+        backup_settings = Path(self.directory, "backup.toml")
+        backup_settings.write_text(Path(self.settings_path).read_text().replace("/n1", "/backup"))
+        self.run_command("resolve", "--bill-all", "--reason", "gateway's log")
+        self.run_command("close", PERIOD)
+        self.run_command("backup", str(backup_path))
+        self.run_command("compact", PERIOD, "--unexported")
+        receiver_state = ReceiverState()
+        receiver = FaultyReceiver(receiver_state, Random(1), fault_probability=0.0)
+        with HttpReceiverServer(receiver) as server:
+            refused = self.run_command("export", "--to", server.url, status=EXIT_FAILED)
+            self.assertIn("export a backup of this ledger from before the compaction", refused)
+            self.assertEqual(receiver_state.records, [])
+            ledger_settings, self.settings_path = self.settings_path, str(backup_settings)
+            self.run_command("export", "--to", server.url)
+            self.settings_path = ledger_settings
+            self.assertIn("exported up to", self.run_command("export", "--to", server.url))
+        self.assertEqual(sum(billed.uses for billed in receiver_state.totals().values()), 6)
+
     def test_verify_reports_a_missing_entry(self) -> None:
         with self.open_store() as store:
             store.db.execute("DELETE FROM entries WHERE number = 5")
--- /dev/null
+++ b/tests/test_ledger_compaction.py
@@ -0,0 +1,201 @@
+"""Tests of what reads a compacted ledger: the export, for every cursor of a receiver."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+from unittest import mock
+
+from landingshift.ledger import export_records
+from landingshift.ledger.audit import audit_store
+from landingshift.ledger.compaction import compact_store
+from landingshift.ledger.entries import GENESIS_HASH, EntryKind, counted_ranges, decode
+from landingshift.ledger.errors import EntriesCompactedError
+from landingshift.ledger.export_cursor import Stop
+from landingshift.ledger.export_pb2 import Record
+from landingshift.ledger.export_records import ExportReader
+from landingshift.ledger.exporter import Exporter
+from landingshift.ledger.number_ranges import decode_ranges
+from landingshift.ledger.store import UsageStore
+from landingshift.ledger.store_messages import UsageBatch
+from landingshift.testbed import MEMORY
+from landingshift.testbed.processes.export_receiver import AppliedBatch, FaultyReceiver, ReceiverState
+from tests.ledger_fixtures import usage
+
+DAY_MS = 86_400_000
+DAYS = ("1970-01-01", "1970-01-02", "1970-01-03")
+Cursor = tuple[int, bytes]
+
+
+class CompactionTestCase(unittest.TestCase):
+    """A ledger of three days. On each, uses are counted, repeated, disputed, billed and waived."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory(dir=MEMORY)
+        self.addCleanup(directory.cleanup)
+        self.directory = directory.name
+        self.store = self.open_store("n1")
+
+    def new_store(self, name: str = "n1") -> UsageStore:
+        return UsageStore(f"{self.directory}/{name}", "n1", "UTC", "day", 1000, 1000)
+
+    def open_store(self, name: str) -> UsageStore:
+        store = self.new_store(name)
+        self.addCleanup(store.close)
+        return store
+
+    def copy_store(self, name: str) -> UsageStore:
+        """Returns a copy of the store, as an operator makes one with `ledger backup`."""
+        Path(self.directory, name).mkdir()
+        self.store.backup(f"{self.directory}/{name}/ledger.sqlite")
+        return self.open_store(name)
+
+    def run_day(self, day: int, leaves_disputed: bool = False) -> None:
+        at_ms = day * DAY_MS + DAY_MS // 2
+        self.store.start_run(b"first %d" % day, at_ms)
+        identities = [b"%d use %08d" % (day, number) for number in range(5)]
+        usages = [usage(number + 1, at_ms, identity) for number, identity in enumerate(identities)]
+        usages.append(usage(6, at_ms + 1, identities[0]))
+        with self.store.ledger_transaction() as ledger:
+            ledger.apply_batch(UsageBatch(1, usages, [1, 2], [], []), at_ms)
+            ledger.apply_batch(UsageBatch(2, [], [3, 6], [], []), at_ms)
+        self.store.start_run(b"second %d" % day, at_ms + 10)
+        if not leaves_disputed:
+            with self.store.ledger_transaction() as ledger:
+                (first, record), (second, _) = self.store.disputed()[-2:]
+                nearby = self.store.counted_near([record])
+                ledger.resolve_disputes({first: record}, [second], nearby, "in the log", "me", at_ms)
+        with self.store.ledger_transaction() as ledger:
+            ledger.close_period(DAYS[day], 9 * DAY_MS, DAYS[day], self.store.period_totals(DAYS[day]))
+
+    def compact(self, day: int) -> None:
+        self.assertGreater(compact_store(self.store, DAYS[day], 9 * DAY_MS, None), 0)
+        self.assertEqual(audit_store(self.store), [])
+
+    def cursors(self, store: UsageStore) -> list[Cursor]:
+        return [(0, GENESIS_HASH), *((row.number, row.hash) for row in store.rows())]
+
+    def export(
+        self, store: UsageStore, state: ReceiverState, skips_compacted: bool = False
+    ) -> tuple[Stop | None, list[str]]:
+        """Exports a store and returns why the export stopped, and the names of the logged events."""
+        events: list[str] = []
+        exporter = Exporter(
+            store,
+            FaultyReceiver(state, Random(1), fault_probability=0.0),
+            Random(1),
+            lambda event, **_: events.append(event),
+            lambda _: None,
+            skips_compacted,
+        )
+        return exporter.run(), events
+
+    def receiver_at(self, cursor: Cursor) -> ReceiverState:
+        state = ReceiverState()
+        state.history = [AppliedBatch(*cursor, 0)]
+        return state
+
+    def records_after(self, store: UsageStore, cursor: Cursor) -> list[Record]:
+        state = self.receiver_at(cursor)
+        stop, _ = self.export(store, state)
+        self.assertIsNone(stop)
+        return state.records
+
+
+class ExportAfterCompactionTest(CompactionTestCase):
+    # Guards against this fault: an export skipped what a compaction had removed and ended well.
+
+    def test_every_cursor_gets_all_records_or_the_export_stops_and_changes_nothing(self) -> None:
+        for day in (0, 1):
+            self.run_day(day)
+        self.compact(0)
+        self.run_day(2)
+        backup = self.copy_store("backup")  # lacks what the first compaction removed
+        cursors = self.cursors(backup)
+        self.compact(1)
+        served = []
+        for cursor in cursors:
+            with self.subTest(cursor=cursor[0]):
+                state = self.receiver_at(cursor)
+                stop, _ = self.export(self.store, state)
+                if stop is None:
+                    served.append(cursor[0])
+                    self.assertEqual(state.records, self.records_after(backup, cursor))
+                else:
+                    self.assertEqual((state.records, len(state.history)), ([], 1))
+                    self.assertIn("restore the receiver from a newer copy", stop.reason)
+        self.assertEqual(served, self.sound_cursors(backup))
+
+    def sound_cursors(self, backup: UsageStore) -> list[int]:
+        """Returns the cursors after which the store still has each entry and all usage that these count."""
+        compaction = self.store.newest_compaction()
+        assert compaction is not None
+        left = {row.number for row in self.store.rows()}
+        sound = []
+        needed: set[int] = set()
+        for row in reversed(list(backup.rows())):
+            if needed <= left and row.number in left | {compaction.last_number}:
+                sound.append(row.number)
+            needed.add(row.number)
+            needed.update(decode_ranges(counted_ranges(decode(row.kind, row.data))))
+        return sorted(sound)
+
+    def test_every_cursor_is_served_where_nothing_was_compacted(self) -> None:
+        for day in range(3):
+            self.run_day(day)
+        everything = self.records_after(self.store, (0, GENESIS_HASH))
+        self.assertEqual(sum(record.kind == Record.USE for record in everything), 12)
+        for cursor in self.cursors(self.store):
+            with self.subTest(cursor=cursor[0]):
+                records = self.records_after(self.store, cursor)
+                self.assertEqual(records, everything[len(everything) - len(records) :])
+
+    def test_a_cursor_between_a_dispute_and_its_resolution_stops_if_the_use_was_compacted(self) -> None:
+        self.run_day(0)
+        opened = [row for row in self.store.rows() if row.kind == EntryKind.OPENED][-1]
+        self.run_day(1)
+        self.compact(0)
+        stop, _ = self.export(self.store, self.receiver_at((opened.number, opened.hash)))
+        assert stop is not None
+        self.assertIn("--skip-compacted", stop.reason)
+
+    def test_export_of_a_backup_and_then_of_the_ledger_delivers_each_record_once(self) -> None:
+        self.run_day(0)
+        state = ReceiverState()
+        self.export(self.store, state)
+        copy = state.history[-1], list(state.records)
+        self.run_day(1)
+        everything = self.records_after(self.store, (0, GENESIS_HASH))
+        backup = self.copy_store("backup")
+        self.compact(1)
+        self.run_day(2)
+        restored = self.receiver_at((copy[0].cursor, copy[0].hash))
+        restored.records = copy[1]
+        self.assertIsNotNone(self.export(self.store, restored)[0])
+        self.assertIsNone(self.export(backup, restored)[0])
+        self.assertEqual(restored.records, everything)
+        self.assertIsNone(self.export(self.store, restored)[0])
+        self.assertEqual(sum(record.kind == Record.USE for record in restored.records), 12)
+
+    def test_a_compaction_between_two_batches_ends_the_export(self) -> None:
+        self.run_day(0)
+        reader = ExportReader(self.store)
+        with mock.patch.object(export_records, "MAX_BATCH_ENTRY_COUNT", 3):
+            batch = reader.next_batch(0)
+            assert batch is not None
+            self.compact(0)
+            self.assertRaises(EntriesCompactedError, reader.next_batch, batch.to)
+
+    def test_skipping_is_logged_and_delivers_what_is_left(self) -> None:
+        self.run_day(0)
+        self.compact(0)
+        self.run_day(1)
+        state = ReceiverState()
+        stop, events = self.export(self.store, state, skips_compacted=True)
+        self.assertIsNone(stop)
+        self.assertEqual(events, ["export_skipped"])
+        self.assertEqual(sum(record.kind == Record.USE for record in state.records), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_ledger_retries.py
+++ b/tests/test_ledger_retries.py
@@ -56,7 +56,7 @@
         self.assertEqual(self.server.period_sum(DAY).uses, count)
         self.assertEqual(audit_store(self.server), [])
 
-    # The ledger forgot usage that an operator billed: its window and `counted_near` read settlements alone.
+    # Guards against this fault: the ledger forgot usage that an operator billed.
 
     def test_retry_of_a_disputed_use_that_was_billed_is_a_duplicate(self) -> None:
         for restarts_after in (False, True):
