Merge: an empty reply before the peer's newest entry is reported

Callers would see: `ledger merge ADDRESS` says "0 new entries" with status 0, where the peer had compacted 5,000 or more entries that were never merged; none of its later uses are merged either.

Cause: a reply is a range of numbers; where all are compacted it is empty, and the merge took it for the end of the peer's ledger.

Change: an empty reply before the reported head raises MissingEntryError.

Result: MergeAfterCompactionTest failed before ("MissingEntryError not raised by merge") and passes; a peer merged before its compaction is merged on.

--- a/landingshift/ledger/reconciliation.py
+++ b/landingshift/ledger/reconciliation.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from landingshift.ledger.entries import EntryRow
-from landingshift.ledger.errors import StoreUnavailableError
+from landingshift.ledger.errors import MissingEntryError, StoreUnavailableError
 from landingshift.ledger.merge_rules import MergeResult
 from landingshift.ledger.merged_store import MergedStore
 from landingshift.ledger.peer_exchange import PeerClient
@@ -17,6 +17,7 @@
 
     Raises:
         grpc.RpcError: A call to the peer failed.
+        MissingEntryError: The peer compacted entries that the merged ledger does not have.
         StoreUnavailableError: The peer's entries do not form a valid chain.
     """
     head = peer.head()
@@ -32,6 +33,8 @@
     while has_more:
         pulled = peer.pull(head.instance, after)
         if not pulled.rows:
+            if after < head.number:  # the peer compacted so many entries that a whole reply is empty
+                raise MissingEntryError(head.instance, after + 1, head.number)
             break
         first = pulled.rows[0]
         if after and first.number == after + 1 and not merged.follows_chain(branch, first):
--- a/tests/test_ledger_compaction.py
+++ b/tests/test_ledger_compaction.py
@@ -1,4 +1,4 @@
-"""Tests of what reads a compacted ledger: the export, for every cursor of a receiver."""
+"""Tests of what reads a compacted ledger: the export, for every cursor of a receiver, and merging."""
 
 import tempfile
 import unittest
@@ -6,16 +6,20 @@
 from random import Random
 from unittest import mock
 
-from landingshift.ledger import export_records
+from landingshift.ledger import export_records, peer_exchange
 from landingshift.ledger.audit import audit_store
 from landingshift.ledger.compaction import compact_store
 from landingshift.ledger.entries import GENESIS_HASH, EntryKind, counted_ranges, decode
-from landingshift.ledger.errors import EntriesCompactedError
+from landingshift.ledger.errors import EntriesCompactedError, MissingEntryError
 from landingshift.ledger.export_cursor import Stop
 from landingshift.ledger.export_pb2 import Record
 from landingshift.ledger.export_records import ExportReader
 from landingshift.ledger.exporter import Exporter
+from landingshift.ledger.merge_rules import MergeResult
+from landingshift.ledger.merged_store import MergedStore
 from landingshift.ledger.number_ranges import decode_ranges
+from landingshift.ledger.peer_exchange import PeerClient
+from landingshift.ledger.reconciliation import merge_peer
 from landingshift.ledger.store import UsageStore
 from landingshift.ledger.store_messages import UsageBatch
 from landingshift.testbed import MEMORY
@@ -197,5 +201,36 @@
         self.assertEqual(sum(record.kind == Record.USE for record in state.records), 4)
 
 
+class MergeAfterCompactionTest(CompactionTestCase):
+    # Guards against this fault: a merge over the network ended well where compacted entries were missing.
+
+    def test_merging_a_peer_whose_compacted_entries_were_never_merged_is_reported(self) -> None:
+        for is_merged_before in (True, False):
+            with self.subTest(is_merged_before=is_merged_before):
+                self.setUp()
+                merged = MergedStore(f"{self.directory}/merged.sqlite", "UTC", "day", 1000)
+                self.addCleanup(merged.close)
+                self.run_day(0)
+                if is_merged_before:
+                    self.merge(merged)
+                self.compact(0)
+                self.run_day(1)
+                if is_merged_before:
+                    self.assertEqual(self.merge(merged).missing_entry_count, 0)
+                    self.assertEqual(merged.head_number("n1"), self.store.newest_number())
+                else:
+                    self.assertRaisesRegex(MissingEntryError, "is missing before", self.merge, merged)
+
+    def merge(self, merged: MergedStore) -> MergeResult:
+        """Merges the store over loopback, with replies of few entries."""
+        with mock.patch.object(peer_exchange, "MAX_REPLY_ENTRIES", 2):
+            server, port = peer_exchange.serve(self.new_store, "127.0.0.1:0")
+            try:
+                with PeerClient(f"127.0.0.1:{port}", 10_000.0) as peer:
+                    return merge_peer(merged, peer)
+            finally:
+                server.stop(None).wait()
+
+
 if __name__ == "__main__":
     unittest.main()
