Ledger: the window read again reaches back from the oldest unsettled use

Callers would see: a retry billed again that is settled late, after a command of an operator or a restart of the store's process. Found by random histories, not seen in an installation.

Cause: recovery read the entries of one window before the newest use. A use that is still to be settled is older and compares with uses up to a window before itself.

Change: the window reaches back from the oldest use that is not settled.

Result: test_retry_that_is_settled_late... failed before ("1011 != 1010") and passes; 440 histories hold.

--- a/landingshift/ledger/recovery.py
+++ b/landingshift/ledger/recovery.py
@@ -39,7 +39,7 @@
     ledger = UsageLedger(reader.calendar, window, NameNumberCache(reader.db))
     stored_first_pending = reader.meta(META_FIRST_PENDING)
     first_pending = stored_first_pending if isinstance(stored_first_pending, int) else 1
-    first_replayed = min(first_pending, _first_entry_of_window(reader, max_identity_count))
+    first_replayed = min(first_pending, _first_entry_of_window(reader, first_pending, max_identity_count))
     previous_row = reader.row_before(first_replayed)
     ledger.last_number = previous_row.number if previous_row else 0
     ledger.last_hash = previous_row.hash if previous_row else GENESIS_HASH
@@ -105,16 +105,22 @@
                 self.pending.pop(number, None)
 
 
-def _first_entry_of_window(reader: StoreReader, max_identity_count: int) -> int:
-    """Returns the number of the first entry to replay so that the deduplication window is complete."""
+def _first_entry_of_window(reader: StoreReader, first_pending: int, max_identity_count: int) -> int:
+    """Returns the number of the first entry to replay so that the deduplication window is complete.
+
+    The window reaches back from the oldest usage that is not settled yet, since that is still to be compared
+    with usage counted before it.
+    """
     newest_number = reader.newest_number()
     newest_usage_ms = reader.usage_time_at(newest_number)
     if newest_usage_ms is None:
         return 1
+    oldest_pending = reader.usage(first_pending)
+    next_settled_ms = min(newest_usage_ms, oldest_pending.at_ms if oldest_pending else newest_usage_ms)
     tail_entries = FIRST_TAIL_ENTRIES
     while tail_entries < min(newest_number, 2 * max_identity_count):
         usage_time_ms = reader.usage_time_at(newest_number - tail_entries)
-        if usage_time_ms is None or usage_time_ms < newest_usage_ms - reader.dedup_window_ms:
+        if usage_time_ms is None or usage_time_ms < next_settled_ms - reader.dedup_window_ms:
             break
         tail_entries *= 2
     return max(1, newest_number - tail_entries)
--- a/tests/test_ledger_retries.py
+++ b/tests/test_ledger_retries.py
@@ -4,6 +4,7 @@
 import unittest
 
 from landingshift.ledger.audit import audit_store
+from landingshift.ledger.recovery import FIRST_TAIL_ENTRIES
 from landingshift.ledger.store import UsageStore
 from landingshift.ledger.store_messages import ReportedUsage, UsageBatch
 from landingshift.testbed import MEMORY
@@ -25,7 +26,7 @@
         self.batch_number = 0
 
     def open_store(self) -> UsageStore:
-        store = UsageStore(self.directory, "n1", "UTC", "day", WINDOW_MS, 1000)
+        store = UsageStore(self.directory, "n1", "UTC", "day", WINDOW_MS, 100_000)
         self.addCleanup(store.close)
         return store
 
@@ -95,6 +96,18 @@
         self.report([usage(1, 300, b"b" * 16), usage(2, 100 + WINDOW_MS, b"a" * 16)], [1, 2])
         self.require_uses(3)
 
+    # Guards against this fault: the window that was read again reached back from the newest use alone.
+
+    def test_retry_that_is_settled_late_is_a_duplicate_after_a_command_of_an_operator(self) -> None:
+        later = [usage(number + 3, 2000, b"%016d" % number) for number in range(20)]
+        later += [usage(number + 23, 5000, b"%016d" % number) for number in range(FIRST_TAIL_ENTRIES - 10)]
+        self.report([usage(1, 100)], [1])
+        self.report([usage(2, 900)], [])
+        self.report(later, [reported.sequence for reported in later])
+        self.resolve()
+        self.report([], [2])
+        self.require_uses(1 + len(later))
+
 
 if __name__ == "__main__":
     unittest.main()
