--- a/tests/test_ledger_retries.py
+++ b/tests/test_ledger_retries.py
@@ -11,6 +11,7 @@
 from tests.ledger_fixtures import usage
 
 WINDOW_MS = 1000
+HOUR_MS = 3_600_000
 DAY = "1970-01-01"
 
 
@@ -108,6 +109,23 @@
         self.report([], [2])
         self.require_uses(1 + len(later))
 
+    # Guards against this fault: the window kept the last four times of an identity alone.
+
+    def test_disputed_uses_of_a_frequent_attempt_are_duplicates_of_each_of_its_counted_uses(self) -> None:
+        counted_times = range(0, 20 * WINDOW_MS, 2 * WINDOW_MS)
+        for number, at_ms in enumerate(counted_times, 1):
+            self.report([usage(2 * number, at_ms), usage(2 * number + 1, at_ms + 100)], [2 * number])
+        self.restart_server(20 * WINDOW_MS)
+        self.assertEqual(self.resolve(*self.disputed_numbers()), 0)
+        self.require_uses(len(counted_times))
+
+    def test_window_knows_each_time_of_a_frequent_attempt(self) -> None:
+        counted_times = range(0, 20 * WINDOW_MS, 2 * WINDOW_MS)
+        for number, at_ms in enumerate(counted_times, 1):
+            self.report([usage(number, at_ms)], [number])
+        self.report([usage(100, 100)], [100])  # the clock stepped back
+        self.require_uses(len(counted_times))
+
 
 if __name__ == "__main__":
     unittest.main()
