Resolve: the search for counted retries allows for steps of the clock

Callers would see: a disputed use billed beside its counted retry, if a use of a moment with the clock ahead stands between them. Found by reading, not seen in an installation.

Cause: the search began by bisection over times and ended at the first use two windows later; both take the entries' times for ordered.

It is a module of its own now, counted_usage_search.

Result: the test with a step of an hour failed before ("1 != 0") and passes.

--- a/landingshift/ledger/store_reader.py
+++ b/landingshift/ledger/store_reader.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Collection, Iterator, Set
+from collections.abc import Collection, Iterator
 
+from landingshift.ledger.counted_usage_search import counted_near
 from landingshift.ledger.dedup_window import DedupWindow
 from landingshift.ledger.entries import (
     Compaction,
@@ -12,13 +13,10 @@
     EntryKind,
     EntryRow,
     UsageRecord,
-    counted_ranges,
     decode,
     decode_period_close,
     decode_usage,
-    settled_ranges,
 )
-from landingshift.ledger.number_ranges import decode_ranges
 from landingshift.ledger.periods import BillingCalendar
 from landingshift.ledger.schema import META_EXPORTED_NUMBER
 from landingshift.ledger.totals import (
@@ -252,64 +250,4 @@
         It covers at least one deduplication window before and after the time of each record, also where an
         entry of a much later time counted the usage.
         """
-        counted = DedupWindow(self.dedup_window_ms, NO_LIMIT)
-        times = [record.at_ms for record in records]
-        if not times:
-            return counted
-        identities = {record.identity for record in records}
-        first = self._first_entry_since(min(times) - self.dedup_window_ms)
-        candidates = self._usage_of(identities, first, max(times) + 2 * self.dedup_window_ms)
-        for record in self._counted_usage(candidates):
-            counted.add(record.identity, record.at_ms)
-        return counted
-
-    def _usage_of(self, identities: Set[bytes], first: int, latest_ms: int) -> dict[int, UsageRecord]:
-        """Returns the usage of some identities from entry `first` on, without disputed usage.
-
-        The search ends at the first usage after `latest_ms`.
-        """
-        found = {}
-        for row in self.rows(first):
-            if row.kind != EntryKind.USAGE:
-                continue
-            record = decode_usage(row.data)
-            if record.at_ms > latest_ms:
-                break
-            if record.identity in identities:
-                found[row.number] = record
-        for number in self.disputed_numbers():
-            found.pop(number, None)
-        return found
-
-    def _counted_usage(self, candidates: dict[int, UsageRecord]) -> Iterator[UsageRecord]:
-        """Yields those of the given usage entries that a settlement or a resolution counts."""
-        undecided = dict(candidates)
-        rows = self.db.execute(
-            "SELECT kind, data FROM entries WHERE number > ? AND kind IN (?, ?) ORDER BY number",
-            (min(undecided, default=NO_LIMIT), EntryKind.SETTLEMENT, EntryKind.RESOLUTION),
-        )
-        for kind, data in rows:
-            entry = decode(kind, data)
-            for number in decode_ranges(counted_ranges(entry)):
-                if number in undecided:
-                    yield undecided[number]
-            for number in decode_ranges(settled_ranges(entry)):
-                undecided.pop(number, None)
-            if not undecided:
-                return
-
-    def _first_entry_since(self, at_ms: int) -> int:
-        """Returns the number of an entry before which all usage is older than `at_ms`, found by bisection.
-
-        If the server's clock stepped back, some earlier entries might be newer than `at_ms`.
-        """
-        low = 1
-        high = self.newest_number() or 1
-        while low < high:
-            middle = (low + high) // 2
-            usage_time_ms = self.usage_time_at(middle)
-            if usage_time_ms is None or usage_time_ms < at_ms:
-                low = middle + 1
-            else:
-                high = middle
-        return low
+        return counted_near(self, records)
--- a/tests/test_ledger_retries.py
+++ b/tests/test_ledger_retries.py
@@ -126,6 +126,20 @@
         self.report([usage(100, 100)], [100])  # the clock stepped back
         self.require_uses(len(counted_times))
 
+    # Guards against this fault: `resolve` searched up to the first use with a much later time.
+
+    def test_disputed_use_is_a_duplicate_of_a_retry_counted_around_a_step_of_the_clock(self) -> None:
+        for step_ms in (HOUR_MS, -HOUR_MS):
+            with self.subTest(step_ms=step_ms):
+                self.setUp()
+                self.report([usage(1, 2 * HOUR_MS)], [])
+                self.restart_server(2 * HOUR_MS)
+                self.report([usage(1, 2 * HOUR_MS + step_ms, b"x" * 16)], [1])
+                self.report([usage(2, 2 * HOUR_MS + 10)], [2])
+                self.report([usage(3, 2 * HOUR_MS + step_ms, b"y" * 16)], [3])
+                self.assertEqual(self.resolve(*self.disputed_numbers()), 0)
+                self.require_uses(3)
+
 
 if __name__ == "__main__":
     unittest.main()
