Catch-up restores the entries of an instance's parent branch too

Cause: `MergedStore.rows_after` took the entries stored under a branch for all of its entries; those before the divergence are stored under the parent.

Change: it returns the parents' entries first.

--- a/landingshift/ledger/merged_store.py
+++ b/landingshift/ledger/merged_store.py
@@ -50,6 +50,7 @@
 from landingshift.ledger.totals import TenantTotals, TotalsKey, UsageTotals
 from landingshift.ledger.usage_ledger import correction_key
 
+NO_LIMIT = 1 << 62
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS lines(line TEXT PRIMARY KEY, instance TEXT NOT NULL, start INTEGER NOT NULL,
@@ -177,15 +178,28 @@
         previous_hash = self.hash_at(branch, row.number - 1)
         return previous_hash is not None and chain_hash(previous_hash, row.kind, row.data) == row.hash
 
-    def rows_after(self, branch: str, number: int, max_row_count: int) -> list[EntryRow]:
+    def rows_after(
+        self, branch: str, number: int, max_row_count: int, last: int = NO_LIMIT
+    ) -> list[EntryRow]:
         """Returns at most `max_row_count` entries of a branch after entry `number`, in order.
 
-        Entries that are stored in the branch's parents are not included.
+        Entries that are stored in the branch's parents are included. If there are entries after `number`, at
+        least one is returned.
+
+        Args:
+            branch: Name of the branch.
+            number: Number of the entry before the first one to return.
+            max_row_count: Maximum number of entries to return.
+            last: Number of the last entry to return.
         """
+        line = self.db.execute("SELECT parent, start FROM lines WHERE line = ?", (branch,)).fetchone()
+        parent, start = line or ("", 1)
+        if parent and number + 1 < start:
+            return self.rows_after(parent, number, max_row_count, min(last, start - 1))
         rows = self.db.execute(
-            "SELECT number, kind, data, hash FROM entries WHERE line = ? AND number > ? "
+            "SELECT number, kind, data, hash FROM entries WHERE line = ? AND number BETWEEN ? AND ? "
             "ORDER BY number LIMIT ?",
-            (branch, number, max_row_count),
+            (branch, number + 1, last, max_row_count),
         )
         return [EntryRow._make(row) for row in rows]
 
--- a/tests/test_ledger_compaction.py
+++ b/tests/test_ledger_compaction.py
@@ -19,8 +19,8 @@
 from landingshift.ledger.merged_store import MergedStore
 from landingshift.ledger.number_ranges import decode_ranges
 from landingshift.ledger.peer_exchange import PeerClient
-from landingshift.ledger.reconciliation import merge_peer
-from landingshift.ledger.repair import reindex
+from landingshift.ledger.reconciliation import merge_file, merge_peer
+from landingshift.ledger.repair import reindex, restore_missing_entries
 from landingshift.ledger.store import UsageStore
 from landingshift.ledger.store_messages import UsageBatch
 from landingshift.testbed import MEMORY
@@ -308,5 +308,40 @@
                 server.stop(None).wait()
 
 
+class CatchUpTest(CompactionTestCase):
+    """A store that was restored from an old copy gets the entries back that it lacks."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.merged = MergedStore(f"{self.directory}/merged.sqlite", "UTC", "day", 1000)
+        self.addCleanup(self.merged.close)
+
+    def merge(self, store: UsageStore) -> None:
+        merge_file(self.merged, store.path)
+
+    def require_restored(self, copy: UsageStore, original: UsageStore) -> None:
+        """Restores what a copy lacks; requires that it then has the original's entries and totals."""
+        restore_missing_entries(copy, self.merged)
+        self.assertEqual(copy.all_totals(), original.all_totals())
+        self.assertEqual(audit_store(copy), [])
+        numbers = [row.number for row in copy.rows(copy.newest_compaction_number() + 1)]
+        self.assertEqual(numbers[-1], original.newest_number())
+        rows = {row.number: row for row in copy.rows()}
+        self.assertEqual([rows[row.number] for row in original.rows()], list(original.rows()))
+
+    # Guards against this fault: of an instance with two branches, entries before the second one were lost.
+
+    def test_entries_of_the_parent_branch_come_back(self) -> None:
+        self.run_day(0)
+        oldest = self.copy_store("oldest")
+        self.run_day(1)
+        second = self.copy_store("second")
+        self.store.start_run(b"first branch", 9 * DAY_MS)
+        self.merge(self.store)
+        second.start_run(b"second branch", 9 * DAY_MS)
+        self.merge(second)
+        self.require_restored(oldest, second)
+
+
 if __name__ == "__main__":
     unittest.main()
