Catch-up keeps the totals of periods that were compacted after the copy

Callers would see: a store restored from a backup of before a compaction bills nothing for the compacted periods after `ledger catch-up`. Found by listing what reads a compaction entry, not seen in an installation.

Cause: a compaction entry was taken for the fact that entries were removed from this store and its baseline written. A restored one comes without either, and the index was rebuilt from a baseline that is missing or older.

Change: `catch-up` stores the number of the last compaction that removed entries from this store, and `newest_compaction` goes by it until the next compaction.

--- a/landingshift/ledger/compaction.py
+++ b/landingshift/ledger/compaction.py
@@ -27,6 +27,7 @@
 from landingshift.ledger.errors import CorruptLedgerError, EntriesNotExportedError, PeriodNotClosedError
 from landingshift.ledger.periods import BillingCalendar
 from landingshift.ledger.replay import LedgerReplay
+from landingshift.ledger.schema import META_COMPACTION_NUMBER
 from landingshift.ledger.store import UsageStore
 from landingshift.ledger.store_reader import StoreReader
 from landingshift.ledger.totals import Totals, baseline_digest
@@ -82,6 +83,8 @@
         store.index.replace_baseline(plan.totals)
         failpoints.reach("ledger.compacted")
         ledger.append(_compaction_entry(store, plan, period, now_ms))
+        if store.meta(META_COMPACTION_NUMBER) is not None:
+            store.set_meta(META_COMPACTION_NUMBER, None)  # the newest compaction removed entries again
     store.reclaim_space()
     return plan.removed_usage_count
 
--- a/landingshift/ledger/repair.py
+++ b/landingshift/ledger/repair.py
@@ -12,7 +12,12 @@
 from landingshift.ledger.merged_store import MergedStore
 from landingshift.ledger.recovery import recover_ledger
 from landingshift.ledger.replay import LedgerReplay
-from landingshift.ledger.schema import META_FIRST_PENDING, META_LAST_NUMBER, META_RUN_ID
+from landingshift.ledger.schema import (
+    META_COMPACTION_NUMBER,
+    META_FIRST_PENDING,
+    META_LAST_NUMBER,
+    META_RUN_ID,
+)
 from landingshift.ledger.store import UsageStore
 
 MAX_ROW_COUNT = 5000  # entries copied per query
@@ -34,6 +39,8 @@
 def restore_missing_entries(store: UsageStore, merged: MergedStore) -> int:
     """Restores the entries that the store lost, by copying them from the merged ledger.
 
+    Restored compaction entries remove nothing from the store: it has the entries that they removed.
+
     Returns:
         The number of restored entries.
 
@@ -47,6 +54,8 @@
         raise DivergedLedgerError(last_number)
     restored_count = 0
     with store.ledger_transaction():
+        if store.meta(META_COMPACTION_NUMBER) is None:
+            store.set_meta(META_COMPACTION_NUMBER, store.newest_compaction_number())
         while rows := merged.rows_after(branch, last_number, MAX_ROW_COUNT):
             store.insert_entries(rows)
             last_number = rows[-1].number
--- a/landingshift/ledger/schema.py
+++ b/landingshift/ledger/schema.py
@@ -35,3 +35,6 @@
 META_FIRST_PENDING = "low"
 META_LAST_NUMBER = "head"
 META_EXPORTED_NUMBER = "exported"
+META_COMPACTION_NUMBER = "compaction"
+"""Set while the store has compaction entries that removed nothing from it, because they were restored from a
+merged ledger. The value is the number of the last compaction entry that did remove entries, or 0."""
--- a/landingshift/ledger/store_reader.py
+++ b/landingshift/ledger/store_reader.py
@@ -18,7 +18,7 @@
     decode_usage,
 )
 from landingshift.ledger.periods import BillingCalendar
-from landingshift.ledger.schema import META_EXPORTED_NUMBER
+from landingshift.ledger.schema import META_COMPACTION_NUMBER, META_EXPORTED_NUMBER
 from landingshift.ledger.totals import (
     ZERO_TOTALS,
     PeriodSummary,
@@ -117,16 +117,28 @@
         return decode_usage(row[0]).at_ms if row else None
 
     def newest_compaction(self) -> Compaction | None:
-        """Returns the newest compaction entry; None if the store was never compacted."""
-        row = self.db.execute(
-            "SELECT data FROM entries WHERE kind = ? ORDER BY number DESC LIMIT 1", (EntryKind.COMPACTION,)
-        ).fetchone()
+        """Returns the newest compaction that removed entries from this store; None if there is none."""
+        row = self._newest_compaction_row()
         if row is None:
             return None
-        entry = decode(EntryKind.COMPACTION, row[0])
+        entry = decode(row.kind, row.data)
         assert isinstance(entry, Compaction)
         return entry
 
+    def newest_compaction_number(self) -> int:
+        """Returns the number of the entry of `newest_compaction`; 0 if there is none."""
+        row = self._newest_compaction_row()
+        return row.number if row else 0
+
+    def _newest_compaction_row(self) -> EntryRow | None:
+        limit = self.meta(META_COMPACTION_NUMBER)
+        row = self.db.execute(
+            "SELECT number, kind, data, hash FROM entries WHERE kind = ? AND number <= ? "
+            "ORDER BY number DESC LIMIT 1",
+            (EntryKind.COMPACTION, limit if isinstance(limit, int) else NO_LIMIT),
+        ).fetchone()
+        return EntryRow._make(row) if row else None
+
     def period_close_ends(self, after: int = 0) -> list[tuple[int, int]]:
         """Returns the `PeriodClose` entries that follow entry `after`, in order.
 
--- a/tests/test_ledger_compaction.py
+++ b/tests/test_ledger_compaction.py
@@ -329,6 +329,31 @@
         rows = {row.number: row for row in copy.rows()}
         self.assertEqual([rows[row.number] for row in original.rows()], list(original.rows()))
 
+    # Guards against this fault: the totals of periods that were compacted after the copy were lost.
+
+    def test_compactions_after_the_copy_lose_no_totals(self) -> None:
+        for is_copy_compacted in (False, True):
+            with self.subTest(is_copy_compacted=is_copy_compacted):
+                self.setUp()
+                for day in range(3):
+                    self.run_day(day)
+                self.merge(self.store)
+                if is_copy_compacted:
+                    self.compact(0)
+                    self.merge(self.store)
+                copy = self.copy_store("copy")
+                self.compact(1)
+                self.store.start_run(b"later", 9 * DAY_MS)
+                self.merge(self.store)
+                self.require_restored(copy, self.store)
+                reindex(copy)
+                self.assertEqual(copy.all_totals(), self.store.all_totals())
+                self.assertIsNone(self.export(copy, self.receiver_at(self.cursors(copy)[-3]))[0])
+                # A later compaction removes the entries from the copy as well.
+                compact_store(copy, DAYS[1], 9 * DAY_MS, None)
+                self.assertEqual(copy.all_totals(), self.store.all_totals())
+                self.assertEqual(audit_store(copy), [])
+
     # Guards against this fault: of an instance with two branches, entries before the second one were lost.
 
     def test_entries_of_the_parent_branch_come_back(self) -> None:
