Ledger histories: backups and catch-up are among the random commands

Change: a history backs the store up, restores the copy and catches up from the merged ledger, which ends the server's run.

--- a/tests/test_ledger_histories.py
+++ b/tests/test_ledger_histories.py
@@ -21,7 +21,7 @@
 from landingshift.ledger.exporter import Exporter
 from landingshift.ledger.merged_store import MergedStore
 from landingshift.ledger.reconciliation import merge_file
-from landingshift.ledger.repair import reindex
+from landingshift.ledger.repair import reindex, restore_missing_entries
 from landingshift.ledger.store import UsageStore
 from landingshift.ledger.store_messages import UsageBatch
 from landingshift.testbed import MEMORY
@@ -59,6 +59,7 @@
         self.rng = rng
         self.directory = directory
         self.path = Path(directory, "ledger.sqlite")
+        self.backup_path = Path(directory, "backup.sqlite")
         self.now_ms = 10 * DAY_MS - rng.randrange(5000)
         self.expected = ExpectedUses()
         self.identities = [rng.randbytes(16)]
@@ -96,6 +97,8 @@
                 self.export,
                 self.export_to_restored_receiver,
                 self.reindex,
+                self.back_up,
+                self.restore_backup_and_catch_up,
             ]
         )
         command()
@@ -207,6 +210,24 @@
         with self.open_store() as store:
             reindex(store)
 
+    def back_up(self) -> None:
+        self.backup_path.unlink(missing_ok=True)
+        with self.open_store() as store:
+            store.backup(str(self.backup_path))
+
+    def restore_backup_and_catch_up(self) -> None:
+        """Replaces the store by its backup, restores the entries since from the merged ledger, and starts."""
+        if not self.backup_path.exists():
+            return
+        self.merge()
+        self.server.close()
+        for name in ("ledger.sqlite", "ledger.sqlite-wal", "ledger.sqlite-shm"):
+            Path(self.directory, name).unlink(missing_ok=True)
+        self.backup_path.rename(self.path)
+        self.server = self.open_store()
+        restore_missing_entries(self.server, self.merged)
+        self.start_run()
+
     def export(self) -> None:
         """Exports all entries; requires that nothing is missing at the receiver."""
         stop = self.run_export(self.receiver_state)
