Maintenance: work that a kill prevented runs at the next start

Cause: a new process of a machine that drains was taken for the return from its work, and the permit file says the same before the drain as after the work. Evidence: the command was not begun (no line, no file), the permit was used once.

Change: the permit file has a phase, `pending` from the drain on, `begun` before the command begins, none after its end. A start that finds `pending` runs the work before it listens and then starts the program anew; one that finds `begun` logs it and does not repeat the work. The replicated state is unchanged, so voters of both versions agree. It is in `[upkeep]`, off in `run`.

--- a/landingshift/maintenance/service.py
+++ b/landingshift/maintenance/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import subprocess
 from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Any, Protocol, cast
@@ -15,12 +14,13 @@
 from landingshift.maintenance.errors import InvalidMessageError
 from landingshift.maintenance.messages import LoadReport, ReportAnswer, ServerStatus
 from landingshift.maintenance.operator_calls import OperatorCalls
-from landingshift.maintenance.permit_file import read_used_permit, write_used_permit
+from landingshift.maintenance.permit_file import read_used_permit
 from landingshift.maintenance.replicated_state import MaintenanceState
 from landingshift.maintenance.settings import Settings, coordinator_settings
 from landingshift.maintenance.storage import STATE_MACHINE_NAME, encode_command
 from landingshift.maintenance.traffic_meter import TrafficMeter
 from landingshift.maintenance.wire import PACKAGE, decode_message, encode_answer, encode_report
+from landingshift.maintenance.work import Log, MaintenanceWork
 from landingshift.membership.messages import DEPARTED_STATES, MemberRecord
 from landingshift.membership.service import MembershipService
 from landingshift.net.transport.loop import Timer
@@ -132,6 +132,7 @@
         self.loop = host.router.loop
         self.settings = settings
         self.rng = Random(f"{self.router.config.seed} upkeep {self.router.config.name}")
+        self.work = MaintenanceWork(self.router.config.name, settings, host.log)
         self.agent = MaintenanceAgent(read_used_permit(settings.permit_file_path, self.router.config.name))
         self.traffic = TrafficMeter(self.loop.now_ms)
         self.state = MaintenanceState()
@@ -235,7 +236,7 @@
             self.log("maintenance_permit_expired", number=self.agent.permit.number)
             return
         permit_number = self.agent.draining_permit
-        self._record_used_permit(permit_number)
+        self.work.record_drain(permit_number)
         decision_history.record("left", self.node.local_record.name, permit_number)
         self.log("maintenance_draining", number=permit_number)
         self.send_report()
@@ -243,25 +244,10 @@
         failpoints.reach("upkeep.draining")
         self.router.drain()
 
-    def _record_used_permit(self, permit_number: int) -> None:
-        if not self.settings.permit_file_path:
-            return
-        try:
-            write_used_permit(self.settings.permit_file_path, self.node.local_record.name, permit_number)
-        except OSError as err:  # without the file, the work may be done twice
-            self.log("maintenance_mark_failed", error=str(err))
-
     def finish(self) -> None:
-        """Runs the configured command in a child process once the server has drained under a permit."""
-        permit_number = self.agent.draining_permit
-        if not permit_number or not self.settings.command:
-            return
-        timeout_seconds = self.settings.command_timeout_seconds
-        try:
-            process = subprocess.run(self.settings.command, timeout=timeout_seconds, stdin=subprocess.DEVNULL)
-            self.log("maintenance_command_finished", number=permit_number, status=process.returncode)
-        except (OSError, subprocess.TimeoutExpired) as err:
-            self.log("maintenance_command_failed", number=permit_number, error=str(err))
+        """Runs the configured work once the server has drained under a permit."""
+        if self.agent.draining_permit:
+            self.work.run(self.agent.draining_permit)
 
     def local_status(self, _params: list[Any]) -> dict[str, Any]:
         """Answers the operator call `upkeep_here` with the maintenance status of this server."""
@@ -275,6 +261,15 @@
         }
 
 
+def prepare(server_name: str, settings: Settings, log: Log) -> bool:
+    """Runs work that the previous process was killed before; called before the server listens.
+
+    Returns:
+        Whether work was run, so that the program must be started anew.
+    """
+    return MaintenanceWork(server_name, settings, log).run_pending()
+
+
 def attach(host: ServiceHost, settings: Settings) -> MaintenanceService:
     """Creates the maintenance service of a server."""
     return MaintenanceService(host, settings)
--- a/landingshift/net/program/features.py
+++ b/landingshift/net/program/features.py
@@ -82,6 +82,16 @@
     table: str
     settings: Any
 
+    def prepare(self, server_name: str, log: Callable[..., None]) -> bool:
+        """Lets the package finish what the previous process left, before the server listens.
+
+        Returns:
+            Whether the program must be started anew, because the package changed the machine.
+        """
+        module = import_module(f"{PACKAGES[self.table]}.service")
+        prepare = getattr(module, "prepare", None)
+        return prepare is not None and bool(prepare(server_name, self.settings, log))
+
     def attach(self, host: ServiceHost) -> Service:
         """Starts the package's service and adds it to `host.services`.
 
--- a/landingshift/net/program/main.py
+++ b/landingshift/net/program/main.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import traceback
+from typing import NoReturn
 
 from landingshift.net.program import features
 from landingshift.net.program.config import ServerConfigError, load_config
@@ -42,6 +43,10 @@
     try:
         config = load_config(os.environ)
         enabled = features.load_features(toml or os.environ.get(features.SETTINGS_FILE_VARIABLE))
+        if any(feature.prepare(config.name, log) for feature in enabled):
+            if signals.is_shutdown_received:
+                return EXIT_OK
+            _start_anew()
         router = _make_router(loop, config, log)
         host = features.ServiceHost(router, log)
         services = [feature.attach(host) for feature in enabled]
@@ -66,6 +71,11 @@
     return EXIT_OK
 
 
+def _start_anew() -> NoReturn:
+    """Replaces the process by a new one with the same command line; descriptors are not inherited."""
+    os.execv(sys.executable, [sys.executable, *sys.orig_argv[1:]])
+
+
 def _make_router(loop: Loop, config: ServerConfig, log: EventLog) -> Router:
     try:
         return Router(loop, config, log)
--- a/landingshift/net/program/signals.py
+++ b/landingshift/net/program/signals.py
@@ -9,7 +9,8 @@
 
 from landingshift.net.transport.loop import Loop
 
-WATCHED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+WATCHED_SIGNALS = (*SHUTDOWN_SIGNALS, signal.SIGHUP)
 MAX_SIGNALS_PER_READ = 64
 
 
@@ -36,6 +37,11 @@
             signal.signal(number, self._record_time)
         loop.watch(self.reader.fileno(), EVENT_READ, self)
 
+    @property
+    def is_shutdown_received(self) -> bool:
+        """Whether a signal that ends the program was received and not delivered yet."""
+        return not self.received_ms.keys().isdisjoint(SHUTDOWN_SIGNALS)
+
     def _record_time(self, number: int, _frame: object) -> None:
         """Records the time of receipt.
 
