--- a/landingshift/net/routing/actions.py
+++ b/landingshift/net/routing/actions.py
@@ -127,9 +127,7 @@
         self.engine.commands.forget(rpc)
         self.database.forget_rpc(rpc)
         rpc.managed = None  # breaks a reference cycle, so that memory is freed immediately
-        # The controller keeps a record of the RPC until its deduplication window ends.
-        rpc.body = b""
-        rpc.call_request = b""
+        _drop_contents(rpc)
         self.table.remove(rpc)
         self.observers.notify("on_closed", rpc)
 
@@ -185,3 +183,13 @@
     def log(self, text: str) -> None:
         """Logs a change of the admission controller's mode, described by `text`."""
         self.report("mode", text=text)
+
+
+def _drop_contents(rpc: RoutedRpc) -> None:
+    """Frees what a closed RPC does not need, since it is kept until its deduplication window ends."""
+    rpc.body = b""
+    rpc.call_request = b""
+    rpc.memory_kb = 0.0
+    rpc.waited_ms = 0.0
+    rpc.remaining_ms = None
+    rpc.work_hint_ms = None
